--- /dev/null
+++ b/core/command/hscontrol/claim.go
@@ -0,0 +1,416 @@
+package hscontrol
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"hyssopseam/core/command/hspredict"
+	"hyssopseam/core/hsestimate"
+	"hyssopseam/core/hsfleet"
+	"hyssopseam/core/hsid"
+	"hyssopseam/core/hsstate"
+)
+
+// Bounds of claims.
+const (
+	// maxReservations bounds the reservations for jobs past their age bound.
+	maxReservations = 4
+	// startBudget is what a start itself takes of a guarantee's time: preparing, committing, and
+	// running the first task.
+	startBudget = 200 * time.Millisecond
+	// stopQuantile is the part of observed stops, in percent, that must be within the time.
+	stopQuantile = 99
+)
+
+// stoppable reports whether a job can be made to give way within a time, by the observed stop times of
+// its kind. A kind that was never seen to stop can't.
+func (c *Control) stoppable(j *hsstate.Job, within time.Duration) bool {
+	if j.Once {
+		return false
+	}
+	if c.config.Off.Observed {
+		return true
+	}
+	took, ok := hsestimate.Stop(c.state, j.Spec.Workspace, j.Spec.Kind, stopQuantile)
+	return ok && took+startBudget <= within
+}
+
+// mayBorrow reports whether a job may be placed on the home of a guarantee of another workspace.
+func (c *Control) mayBorrow(j *hsstate.Job, g *hsstate.Guarantee) bool {
+	return !c.config.Off.Borrowing && c.stoppable(j, g.Within)
+}
+
+// mayFill reports whether a job may be placed on what is claimed for another: it must be estimated,
+// with caution, to end before the claim is ready.
+func (p *pass) mayFill(j *hsstate.Job, claim *hsfleet.Claim) bool {
+	if claim.Kind != hsfleet.Reservation || p.c.config.Off.Backfill {
+		return false
+	}
+	return p.clock+hspredict.Run(p.c.state, &j.Spec, hspredict.Cautious) <= claim.Ready
+}
+
+// dropClaims drops the claims of jobs that aren't queued any more, and those on workers that are gone.
+func (c *Control) dropClaims() {
+	rules := c.state.Rules.InForce.Number
+	for id, claim := range c.lead.claims {
+		j := c.state.Jobs[id]
+		usable := true
+		for _, part := range claim.Parts {
+			w := c.lead.fleet.Get(part.Worker)
+			usable = usable && w != nil && w.Usable(rules)
+		}
+		if j == nil || j.Phase != hsstate.Queued || !usable {
+			delete(c.lead.claims, id)
+		}
+	}
+}
+
+// claimFor keeps accelerators for a job that didn't fit: it takes its workspace's home back, makes jobs
+// of lower classes give way for an urgent one, or reserves what drains first once it waited too long.
+func (p *pass) claimFor(j *hsstate.Job, same sameness) {
+	if p.unclaimed[same] {
+		return
+	}
+	if claim, victims := p.reclaim(j); claim != nil {
+		p.enter(claim, victims)
+		return
+	}
+	if claim, victims := p.preempt(j); claim != nil {
+		p.enter(claim, victims)
+		return
+	}
+	if claim := p.reserve(j); claim != nil {
+		p.enter(claim, nil)
+		return
+	}
+	p.unclaimed[same] = true
+}
+
+func (p *pass) enter(claim *hsfleet.Claim, victims []hsid.JobID) {
+	l := p.c.lead
+	claim.Made = p.clock
+	l.claims[claim.Job] = claim
+	note := hsfleet.Note{Obstacle: fmt.Sprintf("a %s keeps accelerators for it", claim.Kind)}
+	for _, part := range claim.Parts {
+		note.Waits = append(note.Waits, fmt.Sprintf("%s %v", part.Worker, part.Mask.Set()))
+	}
+	l.notes[claim.Job] = note
+	for _, v := range victims {
+		p.c.stop(v, hsfleet.StopPreempted)
+	}
+}
+
+// reclaim claims the part of its workspace's home that a job needs, and names who gives way there.
+func (p *pass) reclaim(j *hsstate.Job) (*hsfleet.Claim, []hsid.JobID) {
+	for i := range p.homes {
+		h := &p.homes[i]
+		if h.guarantee.Workspace != j.Spec.Workspace || !j.Spec.Shape.Fits(h.guarantee.Shape) {
+			continue
+		}
+		give := func(v *hsstate.Job) bool {
+			return v.Spec.Workspace != j.Spec.Workspace && !v.Once
+		}
+		if claim, victims := p.claimWithin(j, h.masks, give); claim != nil {
+			claim.Kind = hsfleet.Reclaim
+			return claim, victims
+		}
+	}
+	return nil, nil
+}
+
+// preempt claims room for an urgent job from jobs of lower classes that may run again and weren't
+// stopped a short while ago.
+func (p *pass) preempt(j *hsstate.Job) (*hsfleet.Claim, []hsid.JobID) {
+	if j.Spec.Class != hsstate.Urgent || p.c.config.Off.Preemption || !p.c.lead.queue.Aged(j, p.clock) {
+		return nil, nil
+	}
+	give := func(v *hsstate.Job) bool {
+		cooled := v.Preempted == 0 || p.clock-v.Preempted > p.c.config.CoolDown
+		return v.Spec.Class == hsstate.Batch && !v.Once && cooled
+	}
+	claim, victims := p.claimWithin(j, nil, give)
+	if claim != nil {
+		claim.Kind = hsfleet.Preemption
+	}
+	return claim, victims
+}
+
+// yield is a way to get n accelerators of one worker.
+type yield struct {
+	part    hsfleet.Part
+	victims []hsid.JobID
+	// lost is the work that would be thrown away, in accelerator-seconds.
+	lost float64
+}
+
+// claimWithin finds the accelerators for a job that throw the least work away, inside the masks (nil for
+// anywhere) and outside other claims, when everything that may give way does.
+func (p *pass) claimWithin(j *hsstate.Job, masks []hsfleet.Mask, give func(v *hsstate.Job) bool) (*hsfleet.Claim, []hsid.JobID) {
+	var best []yield
+	bestLost := 0.0
+	closed := p.claimed(j.ID, masks == nil)
+	for i := range p.layout.Racks {
+		var yields []yield
+		for _, s := range p.layout.Racks[i].Slots {
+			within := s.Worker.All()
+			if masks != nil {
+				within = masks[s.Index]
+			}
+			if y, ok := p.yieldOn(j, s, within&^closed[s.Index], give); ok {
+				yields = append(yields, y)
+			}
+		}
+		if hsid.WorkerCount(len(yields)) < j.Spec.Shape.Workers {
+			continue
+		}
+		slices.SortStableFunc(yields, func(a, b yield) int { return compare(a.lost, b.lost) })
+		yields = yields[:j.Spec.Shape.Workers]
+		lost := 0.0
+		for _, y := range yields {
+			lost += y.lost
+		}
+		if best == nil || lost < bestLost {
+			best = yields
+			bestLost = lost
+		}
+	}
+	if best == nil {
+		return nil, nil
+	}
+	claim := &hsfleet.Claim{Job: j.ID, Ready: p.clock}
+	var victims []hsid.JobID
+	for _, y := range best {
+		claim.Parts = append(claim.Parts, y.part)
+		for _, v := range y.victims {
+			if !slices.Contains(victims, v) {
+				victims = append(victims, v)
+			}
+		}
+	}
+	return claim, victims
+}
+
+func compare(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// claimed returns what is claimed for other jobs, and with homes what is the home of other workspaces.
+func (p *pass) claimed(but hsid.JobID, homes bool) []hsfleet.Mask {
+	closed := make([]hsfleet.Mask, len(p.layout.Slots))
+	for id, claim := range p.c.lead.claims {
+		if id == but {
+			continue
+		}
+		for _, part := range claim.Parts {
+			if s := p.layout.Slot(part.Worker); s != nil {
+				closed[s.Index] |= part.Mask
+			}
+		}
+	}
+	for i := range p.homes {
+		if homes && p.homes[i].guarantee.Workspace != p.workspaceOf(but) {
+			closed = union(closed, p.homes[i].masks)
+		}
+	}
+	return closed
+}
+
+func (p *pass) workspaceOf(id hsid.JobID) hsid.WorkspaceID {
+	if j := p.c.state.Jobs[id]; j != nil {
+		return j.Spec.Workspace
+	}
+	return ""
+}
+
+// yieldOn finds n adjacent accelerators of a worker that are free or held by jobs that may give way.
+func (p *pass) yieldOn(j *hsstate.Job, s *hsfleet.Slot, within hsfleet.Mask, give func(v *hsstate.Job) bool) (yield, bool) {
+	if !s.Usable || s.Probe || within == 0 {
+		return yield{}, false
+	}
+	open := s.Free & within
+	holders := p.holders(s, give)
+	for _, v := range holders {
+		open |= v.mask & within
+	}
+	best := yield{}
+	found := false
+	for _, g := range s.Worker.Groups() {
+		fit := open & g
+		if fit.Count() < j.Spec.Shape.PerWorker {
+			continue
+		}
+		y := p.chooseYield(s, fit, j.Spec.Shape.PerWorker, holders)
+		if !found || y.lost < best.lost {
+			best = y
+			found = true
+		}
+	}
+	return best, found
+}
+
+// holder is a job that may give way on a worker.
+type holder struct {
+	job  *hsstate.Job
+	mask hsfleet.Mask
+	lost float64
+}
+
+// holders lists the jobs on a worker that may give way, least lost work first.
+func (p *pass) holders(s *hsfleet.Slot, give func(v *hsstate.Job) bool) []holder {
+	var all []holder
+	for _, id := range p.c.lead.byWorker[s.ID] {
+		v := p.c.lead.running[id]
+		if v == nil || !give(v) || p.c.lead.ending[id] {
+			continue
+		}
+		for _, m := range v.Members {
+			if m.Worker != s.ID {
+				continue
+			}
+			ran := (p.clock - v.Started).Seconds()
+			lost := ran*float64(v.Spec.Shape.Total()) + 1
+			if p.c.lead.stops[id] != "" {
+				lost = 0
+			}
+			all = append(all, holder{job: v, mask: hsfleet.MaskOf(m.Accelerators), lost: lost})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b holder) int { return compare(a.lost, b.lost) })
+	return all
+}
+
+func (p *pass) chooseYield(s *hsfleet.Slot, fit hsfleet.Mask, n hsid.Accelerators, holders []holder) yield {
+	y := yield{part: hsfleet.Part{Worker: s.ID}}
+	y.part.Mask = (fit & s.Free).Lowest(n)
+	for _, h := range holders {
+		if y.part.Mask.Count() >= n {
+			break
+		}
+		if take := (fit & h.mask).Lowest(n - y.part.Mask.Count()); take != 0 {
+			y.part.Mask |= take
+			y.victims = append(y.victims, h.job.ID)
+			y.lost += h.lost
+		}
+	}
+	return y
+}
+
+// reserve keeps the accelerators that drain first for a job past its age bound.
+func (p *pass) reserve(j *hsstate.Job) *hsfleet.Claim {
+	if p.c.config.Off.Reservations || !p.c.lead.queue.Aged(j, p.clock) || p.reservations() >= maxReservations {
+		return nil
+	}
+	var best []draining
+	var bestReady time.Duration
+	closed := p.closedFor(j)
+	for i := range p.layout.Racks {
+		var parts []draining
+		for _, s := range p.layout.Racks[i].Slots {
+			if d, ok := p.drainingOn(j, s, closed[s.Index]); ok {
+				parts = append(parts, d)
+			}
+		}
+		if hsid.WorkerCount(len(parts)) < j.Spec.Shape.Workers {
+			continue
+		}
+		slices.SortStableFunc(parts, func(a, b draining) int { return int(a.ready - b.ready) })
+		parts = parts[:j.Spec.Shape.Workers]
+		ready := parts[len(parts)-1].ready
+		if best == nil || ready < bestReady {
+			best = parts
+			bestReady = ready
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	claim := &hsfleet.Claim{Job: j.ID, Kind: hsfleet.Reservation, Ready: bestReady}
+	for _, d := range best {
+		claim.Parts = append(claim.Parts, d.part)
+	}
+	return claim
+}
+
+// closedFor returns what a job can't reserve: claims of others and homes that it may not borrow.
+func (p *pass) closedFor(j *hsstate.Job) []hsfleet.Mask {
+	closed := p.claimed(j.ID, false)
+	for i := range p.homes {
+		h := &p.homes[i]
+		if h.guarantee.Workspace != j.Spec.Workspace && !p.c.mayBorrow(j, h.guarantee) {
+			closed = union(closed, h.masks)
+		}
+	}
+	return closed
+}
+
+func (p *pass) reservations() int {
+	n := 0
+	for _, claim := range p.c.lead.claims {
+		if claim.Kind == hsfleet.Reservation {
+			n++
+		}
+	}
+	return n
+}
+
+// draining is a set of accelerators with the estimated time at which all of it is free.
+type draining struct {
+	part  hsfleet.Part
+	ready time.Duration
+}
+
+// drainingOn finds the adjacent accelerators of a worker that are estimated to be free first.
+func (p *pass) drainingOn(j *hsstate.Job, s *hsfleet.Slot, closed hsfleet.Mask) (draining, bool) {
+	if !s.Usable || s.Probe {
+		return draining{}, false
+	}
+	ends := p.endsOn(s)
+	best := draining{part: hsfleet.Part{Worker: s.ID}}
+	found := false
+	for _, g := range s.Worker.Groups() {
+		d := draining{part: hsfleet.Part{Worker: s.ID}, ready: p.clock}
+		d.part.Mask = (s.Free & g &^ closed).Lowest(j.Spec.Shape.PerWorker)
+		for _, e := range ends {
+			if need := j.Spec.Shape.PerWorker - d.part.Mask.Count(); need > 0 && e.mask&g&^closed != 0 {
+				d.part.Mask |= (e.mask & g &^ closed).Lowest(need)
+				d.ready = max(d.ready, e.at)
+			}
+		}
+		if d.part.Mask.Count() == j.Spec.Shape.PerWorker && (!found || d.ready < best.ready) {
+			best = d
+			found = true
+		}
+	}
+	return best, found
+}
+
+// ending is a set of accelerators and the estimated time at which their job ends.
+type ending struct {
+	mask hsfleet.Mask
+	at   time.Duration
+}
+
+func (p *pass) endsOn(s *hsfleet.Slot) []ending {
+	var ends []ending
+	for _, id := range p.c.lead.byWorker[s.ID] {
+		v := p.c.lead.running[id]
+		if v == nil {
+			continue
+		}
+		for _, m := range v.Members {
+			if m.Worker == s.ID {
+				at := hspredict.End(p.c.state, v, p.clock, hspredict.Cautious)
+				ends = append(ends, ending{mask: hsfleet.MaskOf(m.Accelerators), at: at})
+			}
+		}
+	}
+	slices.SortStableFunc(ends, func(a, b ending) int { return int(a.at - b.at) })
+	return ends
+}
--- /dev/null
+++ b/core/command/hscontrol/config.go
@@ -0,0 +1,137 @@
+package hscontrol
+
+import (
+	"time"
+
+	"hyssopseam/core/command/hsplacement"
+	"hyssopseam/core/command/hsqueue"
+	"hyssopseam/core/command/hsquorum"
+	"hyssopseam/core/hsmessage"
+	"hyssopseam/core/hssource"
+	"hyssopseam/core/hsstate"
+	"hyssopseam/core/hsview"
+)
+
+// Defaults of a Config.
+const (
+	DefaultRulesLease = 2 * time.Second
+	DefaultRunLease   = time.Minute
+	DefaultPrepare    = 2 * time.Second
+	DefaultLearn      = 2 * time.Second
+	DefaultReplicas   = 3
+	DefaultCoolDown   = 10 * time.Minute
+
+	DefaultAgeUrgent = time.Second
+	DefaultAgeNormal = 10 * time.Minute
+	DefaultAgeBatch  = 30 * time.Minute
+
+	// passInterval is the time between two scheduling passes while jobs wait and nothing happens.
+	passInterval = time.Second
+	// forgetAfter is how long a silent worker or process is remembered.
+	forgetAfter = 10 * time.Minute
+	// retryAfter is what a refused caller is told to wait at least.
+	retryAfter = 2 * time.Second
+)
+
+// Config sets the times, bounds and weights of the control role. All replicas use the same.
+type Config struct {
+	Quorum hsquorum.Config
+	// Controls are the addresses of all control replicas.
+	Controls []hsstate.Peer
+	Weights  hsplacement.Weights
+	// AgeBounds is, for each class, the wait after which a job may reserve accelerators.
+	AgeBounds hsqueue.AgeBounds
+	// RulesLease is how long an entry or agent acts on rules without contact.
+	RulesLease time.Duration
+	// RunLease is how long an agent keeps running without contact what can run elsewhere.
+	RunLease time.Duration
+	// Prepare bounds the first phase of a gang start.
+	Prepare time.Duration
+	// Learn is how long a new leader waits for all agents' first reports before it refuses jobs that
+	// fit nowhere, or moves homes.
+	Learn time.Duration
+	// CoolDown is how long a preempted job isn't preempted again.
+	CoolDown time.Duration
+	// Replicas is how many members join without being asked.
+	Replicas int
+	// Off switches mechanisms off, for comparison.
+	Off Off
+}
+
+// Off names mechanisms that are switched off for comparison. The zero value switches none off.
+type Off struct {
+	Homes        bool
+	Borrowing    bool
+	Reservations bool
+	Backfill     bool
+	Fairness     bool
+	Breakers     bool
+	Observed     bool
+	Preemption   bool
+}
+
+// WithDefaults returns the configuration with each zero value replaced by its default.
+func (c Config) WithDefaults() Config {
+	c.Quorum = c.Quorum.WithDefaults()
+	c.RulesLease = orDefault(c.RulesLease, DefaultRulesLease)
+	c.RunLease = orDefault(c.RunLease, DefaultRunLease)
+	c.Prepare = orDefault(c.Prepare, DefaultPrepare)
+	c.Learn = orDefault(c.Learn, DefaultLearn)
+	c.CoolDown = orDefault(c.CoolDown, DefaultCoolDown)
+	c.Replicas = orDefault(c.Replicas, DefaultReplicas)
+	ages := hsqueue.AgeBounds{DefaultAgeUrgent, DefaultAgeNormal, DefaultAgeBatch}
+	for i := range c.AgeBounds {
+		c.AgeBounds[i] = orDefault(c.AgeBounds[i], ages[i])
+	}
+	return c
+}
+
+func orDefault[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
+
+// Clock tells the time on a clock that only goes forward.
+type Clock interface {
+	Now() time.Time
+}
+
+// Sender sends a message without blocking; it may lose it.
+type Sender interface {
+	Send(to hsstate.Peer, m hsmessage.Message)
+}
+
+// StateCodec turns a state into bytes and back, for snapshots.
+type StateCodec interface {
+	EncodeState(s *hsstate.State) []byte
+	DecodeState(data []byte) (*hsstate.State, error)
+}
+
+// Reader answers queries. It reports false for something that doesn't exist.
+type Reader interface {
+	Read(s *hssource.Source, q hsmessage.Query) (*hsview.View, bool)
+}
+
+// Observer is told what happens, for metrics and logs. It must not block.
+type Observer interface {
+	Led(leading bool)
+	Accepted(j *hsstate.Job)
+	Refused(reason string)
+	Started(j *hsstate.Job, waited time.Duration)
+	Ended(j *hsstate.Job)
+	Requeued(j *hsstate.Job)
+}
+
+// Ports are the interfaces that the control role calls.
+type Ports struct {
+	Clock    Clock
+	Random   hsquorum.Random
+	Sender   Sender
+	Storage  hsquorum.Storage
+	Codec    StateCodec
+	Reader   Reader
+	Observer Observer
+}
--- /dev/null
+++ b/core/command/hscontrol/leadership.go
@@ -0,0 +1,173 @@
+package hscontrol
+
+import (
+	"slices"
+	"time"
+
+	"hyssopseam/core/command/hsbreaker"
+	"hyssopseam/core/command/hslease"
+	"hyssopseam/core/command/hsqueue"
+	"hyssopseam/core/hsfleet"
+	"hyssopseam/core/hsid"
+	"hyssopseam/core/hsmessage"
+	"hyssopseam/core/hsstate"
+)
+
+// leadership is what a leader knows beyond the replicated state. It ends with the term.
+type leadership struct {
+	term     hsid.Term
+	since    time.Time
+	leases   *hslease.Table
+	fleet    *hsfleet.Fleet
+	queue    *hsqueue.Queue
+	breakers *hsbreaker.Book
+	running  map[hsid.JobID]*hsstate.Job
+	// byWorker lists the running jobs and the attempts of each worker.
+	byWorker map[hsid.InstanceID][]hsid.JobID
+	// memberWorkers lists the workers of each running job.
+	memberWorkers map[hsid.JobID][]hsid.InstanceID
+	attempts      map[hsid.JobID]*attempt
+	claims        map[hsid.JobID]*hsfleet.Claim
+	notes         map[hsid.JobID]hsfleet.Note
+	// stops holds the jobs that give way, stopping all whose members are being stopped.
+	stops    map[hsid.JobID]hsfleet.Stop
+	stopping map[hsid.JobID]bool
+	// ending holds the jobs whose end was proposed and isn't applied yet.
+	ending  map[hsid.JobID]bool
+	tickets map[hsid.JobID][]ticket
+
+	replies     map[hsid.LogIndex]awaited
+	jobWaiters  map[hsid.JobID][]waiter
+	ruleWaiters []waiter
+
+	// dirty lists the agents that are sent orders at the next flush; the value is set when the orders
+	// answer a report.
+	dirty      map[hsid.InstanceID]*hsmessage.Lease
+	passDue    bool
+	passAt     time.Time
+	homesDue   bool
+	homesAsked bool
+}
+
+// awaited is a request whose entry isn't applied yet.
+type awaited struct {
+	peer hsstate.Peer
+	id   hsid.RequestID
+	jobs []hsid.JobID
+}
+
+// waiter is a query that waits for something to happen.
+type waiter struct {
+	peer  hsstate.Peer
+	id    hsid.RequestID
+	query hsmessage.Query
+	until time.Time
+}
+
+func (c *Control) newLeadership() *leadership {
+	now := c.ports.Clock.Now()
+	l := &leadership{
+		term:          c.replica.Term(),
+		since:         now,
+		leases:        hslease.New(c.config.RulesLease, now),
+		fleet:         hsfleet.New(),
+		queue:         hsqueue.New(c.config.AgeBounds),
+		breakers:      hsbreaker.New(),
+		running:       map[hsid.JobID]*hsstate.Job{},
+		byWorker:      map[hsid.InstanceID][]hsid.JobID{},
+		memberWorkers: map[hsid.JobID][]hsid.InstanceID{},
+		attempts:      map[hsid.JobID]*attempt{},
+		claims:        map[hsid.JobID]*hsfleet.Claim{},
+		notes:         map[hsid.JobID]hsfleet.Note{},
+		stops:         map[hsid.JobID]hsfleet.Stop{},
+		stopping:      map[hsid.JobID]bool{},
+		ending:        map[hsid.JobID]bool{},
+		tickets:       map[hsid.JobID][]ticket{},
+		replies:       map[hsid.LogIndex]awaited{},
+		jobWaiters:    map[hsid.JobID][]waiter{},
+		dirty:         map[hsid.InstanceID]*hsmessage.Lease{},
+		passAt:        now,
+		homesDue:      true,
+	}
+	l.breakers.Disabled = c.config.Off.Breakers
+	for _, j := range c.state.Jobs {
+		switch j.Phase {
+		case hsstate.Queued:
+			l.queue.Add(j)
+		case hsstate.Running:
+			l.addRunning(j)
+		}
+	}
+	return l
+}
+
+func (l *leadership) addRunning(j *hsstate.Job) {
+	l.running[j.ID] = j
+	l.memberWorkers[j.ID] = nil
+	for _, m := range j.Members {
+		l.memberWorkers[j.ID] = append(l.memberWorkers[j.ID], m.Worker)
+		l.link(m.Worker, j.ID)
+	}
+}
+
+func (l *leadership) link(w hsid.InstanceID, j hsid.JobID) {
+	jobs := l.byWorker[w]
+	if at, found := slices.BinarySearch(jobs, j); !found {
+		l.byWorker[w] = slices.Insert(jobs, at, j)
+	}
+}
+
+func (l *leadership) unlink(members []hsstate.Placement, j hsid.JobID) {
+	for _, m := range members {
+		jobs := l.byWorker[m.Worker]
+		if at, found := slices.BinarySearch(jobs, j); found {
+			l.byWorker[m.Worker] = slices.Delete(jobs, at, at+1)
+		}
+		l.markDirty(m.Worker)
+	}
+}
+
+// markDirty has orders sent to an agent at the next flush.
+func (l *leadership) markDirty(w hsid.InstanceID) {
+	if _, ok := l.dirty[w]; !ok {
+		l.dirty[w] = nil
+	}
+}
+
+func (l *leadership) markMembers(members []hsstate.Placement) {
+	for _, m := range members {
+		l.markDirty(m.Worker)
+	}
+}
+
+// runningJobs returns the running jobs in the order of their names.
+func (l *leadership) runningJobs() []*hsstate.Job {
+	jobs := make([]*hsstate.Job, 0, len(l.running))
+	for _, j := range l.running {
+		jobs = append(jobs, j)
+	}
+	slices.SortFunc(jobs, func(a, b *hsstate.Job) int { return int(int64(a.Index) - int64(b.Index)) })
+	return jobs
+}
+
+// learned reports whether every agent had the time to report to this leader.
+func (c *Control) learned() bool {
+	return c.ports.Clock.Now().Sub(c.lead.since) >= c.config.Learn
+}
+
+// layout pictures the fleet with all that is running or being prepared.
+func (c *Control) layout() *hsfleet.Layout {
+	l := c.lead
+	held := make([]hsfleet.Holding, 0, len(l.attempts))
+	for _, a := range l.attempts {
+		held = append(held, hsfleet.Holding{Members: a.members, Spec: &a.job.Spec})
+	}
+	return hsfleet.NewLayout(l.fleet, c.state.Rules.InForce.Number, l.runningJobs(), held)
+}
+
+// propose appends a command; a failure means that leadership was lost, and what was to be done is
+// found again by the next leader.
+func (c *Control) propose(command hsstate.Command) (hsid.LogIndex, bool) {
+	index, err := c.replica.Propose(command)
+	return index, err == nil
+}
--- /dev/null
+++ b/core/command/hscontrol/members.go
@@ -0,0 +1,169 @@
+package hscontrol
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"hyssopseam/core/hsid"
+	"hyssopseam/core/hsmessage"
+	"hyssopseam/core/hsstate"
+	"hyssopseam/core/hsview"
+)
+
+// MaxReplicas is the largest number of control replicas.
+const MaxReplicas = 7
+
+// newcomerSilence is how long a newcomer is remembered.
+const newcomerSilence = 5 * time.Second
+
+// proposeMembers asks for a change of the members. The reply comes once it is applied.
+func (c *Control) proposeMembers(a awaited, members []hsstate.Member) {
+	command := hsstate.Command{Members: &hsstate.SetMembers{Cluster: c.replica.Cluster(), Members: members}}
+	index, err := c.replica.Propose(command)
+	if err != nil {
+		c.reply(a, hsmessage.Reply{Status: hsmessage.StatusConflict, Reason: err.Error()})
+		return
+	}
+	c.lead.replies[index] = a
+}
+
+// changeMembers carries out an operator's change, or says why not.
+func (c *Control) changeMembers(a awaited, m *hsmessage.MembersChange) {
+	members := slices.Clone(c.replica.Members())
+	switch m.Action {
+	case hsmessage.MembersAdd:
+		c.addMember(a, members, m.ID, 0)
+	case hsmessage.MembersReplace:
+		if hsstate.MemberIndex(members, m.Old) < 0 {
+			c.reply(a, hsmessage.Reply{Status: hsmessage.StatusMissing, Reason: fmt.Sprintf("replica %d is no member", m.Old)})
+			return
+		}
+		c.addMember(a, members, m.ID, m.Old)
+	case hsmessage.MembersRemove:
+		i := hsstate.MemberIndex(members, m.ID)
+		if i < 0 {
+			c.reply(a, hsmessage.Reply{Status: hsmessage.StatusMissing, Reason: fmt.Sprintf("replica %d is no member", m.ID)})
+			return
+		}
+		c.proposeMembers(a, slices.Delete(members, i, i+1))
+	default:
+		c.reply(a, hsmessage.Reply{Status: hsmessage.StatusBad, Reason: fmt.Sprintf("%q is no change of members", m.Action)})
+	}
+}
+
+func (c *Control) addMember(a awaited, members []hsstate.Member, id, old hsid.ReplicaID) {
+	n, ok := c.newcomers[id]
+	switch {
+	case hsstate.MemberIndex(members, id) >= 0:
+		c.reply(a, hsmessage.Reply{Status: hsmessage.StatusDone})
+	case !ok:
+		c.reply(a, hsmessage.Reply{Status: hsmessage.StatusMissing, Reason: fmt.Sprintf("no newcomer %d is waiting to join", id)})
+	case old == 0 && len(members) >= MaxReplicas:
+		c.reply(a, hsmessage.Reply{Status: hsmessage.StatusConflict, Reason: fmt.Sprintf("there are %d members, the bound", MaxReplicas)})
+	default:
+		learner := hsstate.Member{ID: id, Instance: n.message.Instance, Address: n.message.Address, Replaces: old}
+		c.proposeMembers(a, append(members, learner))
+	}
+}
+
+// repairMembers takes the next step of a change under way: a newcomer joins while members are missing,
+// a learner that holds every committed entry becomes a voter, and then the one it replaces leaves.
+func (c *Control) repairMembers(now time.Time) {
+	for id, n := range c.newcomers {
+		if now.Sub(n.seen) > newcomerSilence {
+			delete(c.newcomers, id)
+		}
+	}
+	if c.replica.Changing() {
+		return
+	}
+	if next := c.nextMembers(); next != nil {
+		c.propose(hsstate.Command{Members: &hsstate.SetMembers{Cluster: c.replica.Cluster(), Members: next}})
+	}
+}
+
+func (c *Control) nextMembers() []hsstate.Member {
+	members := slices.Clone(c.replica.Members())
+	for i, m := range members {
+		if !m.Voter && c.replica.Alive(m.ID) && c.replica.CaughtUp(m.ID) {
+			members[i].Voter = true
+			return members
+		}
+	}
+	for _, m := range members {
+		old := hsstate.MemberIndex(members, m.Replaces)
+		if m.Voter && m.Replaces != 0 && old >= 0 {
+			return slices.Delete(members, old, old+1)
+		}
+	}
+	if len(members) >= c.config.Replicas {
+		return nil
+	}
+	for _, n := range c.sortedNewcomers() {
+		if n.Fresh && hsstate.MemberIndex(members, n.ID) < 0 {
+			return append(members, hsstate.Member{ID: n.ID, Instance: n.Instance, Address: n.Address})
+		}
+	}
+	return nil
+}
+
+// offerToJoin tells the other control replicas of this one while no membership lists it.
+func (c *Control) offerToJoin() {
+	if hsstate.MemberIndex(c.replica.Members(), c.replica.ID()) >= 0 {
+		return
+	}
+	m := hsmessage.Newcomer{
+		ID:       c.replica.ID(),
+		Instance: c.config.Quorum.Instance,
+		Address:  c.config.Quorum.Address,
+		Fresh:    c.replica.Last() == 0,
+	}
+	for _, peer := range c.config.Controls {
+		if peer != m.Address {
+			c.ports.Sender.Send(peer, m)
+		}
+	}
+}
+
+func (c *Control) sortedNewcomers() []hsmessage.Newcomer {
+	all := make([]hsmessage.Newcomer, 0, len(c.newcomers))
+	for _, n := range c.newcomers {
+		all = append(all, n.message)
+	}
+	slices.SortFunc(all, func(a, b hsmessage.Newcomer) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// membersView reports the members as this leader sees them.
+func (c *Control) membersView() hsview.Members {
+	v := hsview.Members{Cluster: c.replica.Cluster(), Commit: c.replica.Commit()}
+	members := c.replica.Members()
+	for _, m := range members {
+		part := "learner"
+		if m.Voter {
+			part = "voter"
+		}
+		if m.ID == c.replica.ID() {
+			part = "leader"
+		}
+		v.Members = append(v.Members, hsview.Member{
+			ID:       m.ID,
+			Instance: m.Instance,
+			Address:  string(m.Address),
+			Part:     part,
+			Alive:    c.replica.Alive(m.ID),
+			CaughtUp: c.replica.CaughtUp(m.ID),
+			Replaces: m.Replaces,
+		})
+		replacing := m.Replaces != 0 && hsstate.MemberIndex(members, m.Replaces) >= 0
+		v.Repairing = v.Repairing || !m.Voter || replacing
+	}
+	for _, n := range c.sortedNewcomers() {
+		if hsstate.MemberIndex(members, n.ID) < 0 {
+			v.Newcomers = append(v.Newcomers, hsview.Member{ID: n.ID, Instance: n.Instance, Address: string(n.Address), Part: "newcomer"})
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/core/command/hsquorum/membership.go
@@ -0,0 +1,77 @@
+package hsquorum
+
+import (
+	"fmt"
+
+	"hyssopseam/core/hsid"
+	"hyssopseam/core/hsstate"
+)
+
+// checkMembers refuses a change while another is under way, one that touches more than one member,
+// and one that would leave no voter or promote a learner that lags.
+func (r *Replica) checkMembers(next []hsstate.Member) error {
+	if r.configIndex > r.commit {
+		return fmt.Errorf("%w: the change at entry %d isn't committed yet", ErrMembership, r.configIndex)
+	}
+	if len(hsstate.Voters(next)) == 0 {
+		return fmt.Errorf("%w: no voter would be left", ErrMembership)
+	}
+	changed := 0
+	for _, m := range next {
+		i := hsstate.MemberIndex(r.members, m.ID)
+		if i >= 0 && r.members[i] == m {
+			continue
+		}
+		changed++
+		if m.Voter && m.ID != r.config.ID && !r.CaughtUp(m.ID) {
+			return fmt.Errorf("%w: replica %d doesn't hold every committed entry yet", ErrMembership, m.ID)
+		}
+	}
+	for _, m := range r.members {
+		if hsstate.MemberIndex(next, m.ID) < 0 {
+			changed++
+		}
+	}
+	if changed > 1 {
+		return fmt.Errorf("%w: %d members would change at once", ErrMembership, changed)
+	}
+	return r.checkQuorumAlive(next)
+}
+
+// checkQuorumAlive refuses a change after which fewer voters than a quorum would be heard from.
+func (r *Replica) checkQuorumAlive(next []hsstate.Member) error {
+	voters := hsstate.Voters(next)
+	alive := 0
+	for _, m := range voters {
+		if m.ID == r.config.ID || r.Alive(m.ID) {
+			alive++
+		}
+	}
+	if alive < len(voters)/2+1 {
+		return fmt.Errorf("%w: only %d of %d voters would be heard from", ErrMembership, alive, len(voters))
+	}
+	return nil
+}
+
+// Alive reports, on a leader, whether a replica answered within the last two election timeouts.
+func (r *Replica) Alive(id hsid.ReplicaID) bool {
+	if id == r.config.ID {
+		return true
+	}
+	p := r.peers[id]
+	return p != nil && r.ports.Clock.Now().Sub(p.acked) < 2*r.config.Election
+}
+
+// CaughtUp reports, on a leader, whether a replica has every committed entry on its disk.
+func (r *Replica) CaughtUp(id hsid.ReplicaID) bool {
+	if id == r.config.ID {
+		return r.disk.synced >= r.commit
+	}
+	p := r.peers[id]
+	return p != nil && p.match >= r.commit && p.match > 0
+}
+
+// Changing reports whether a membership change isn't committed yet.
+func (r *Replica) Changing() bool {
+	return r.configIndex > r.commit
+}
--- /dev/null
+++ b/core/hsstate/rule.go
@@ -0,0 +1,81 @@
+package hsstate
+
+import (
+	"slices"
+	"time"
+
+	"hyssopseam/core/hsid"
+	"hyssopseam/core/hsshape"
+)
+
+// Guarantee promises a workspace a shape of adjacent accelerators within a time.
+type Guarantee struct {
+	Workspace hsid.WorkspaceID
+	Shape     hsshape.Shape
+	Within    time.Duration
+	Line      int
+}
+
+// Quota bounds the accelerators that a workspace holds at once.
+type Quota struct {
+	Workspace    hsid.WorkspaceID
+	Accelerators hsid.Accelerators
+	Line         int
+}
+
+// RuleSet is the parsed content of one rule file.
+type RuleSet struct {
+	Number     hsid.RuleNumber
+	Guarantees []Guarantee
+	Quotas     []Quota
+	// Refuse lists the kinds that may be refused under load.
+	Refuse []hsid.JobKind
+	// Once lists the kinds that never run twice.
+	Once []hsid.JobKind
+}
+
+// MayRefuse reports whether jobs of this kind may be refused under load.
+func (r *RuleSet) MayRefuse(k hsid.JobKind) bool {
+	return slices.Contains(r.Refuse, k)
+}
+
+// IsOnce reports whether jobs of this kind never run twice.
+func (r *RuleSet) IsOnce(k hsid.JobKind) bool {
+	return slices.Contains(r.Once, k)
+}
+
+// Quota returns the bound of a workspace and whether there is one.
+func (r *RuleSet) Quota(w hsid.WorkspaceID) (hsid.Accelerators, bool) {
+	for _, q := range r.Quotas {
+		if q.Workspace == w {
+			return q.Accelerators, true
+		}
+	}
+	return 0, false
+}
+
+// RuleFile is one accepted rule file.
+type RuleFile struct {
+	Number   hsid.RuleNumber
+	Sum      string
+	Operator hsid.OperatorID
+	// Content is empty once the file is older than the retained contents.
+	Content string
+	Index   hsid.LogIndex
+}
+
+// RuleBook holds the rules in force and the history of accepted files, oldest first.
+type RuleBook struct {
+	InForce RuleSet
+	History []RuleFile
+}
+
+// Find returns the accepted file with a number, or nil.
+func (b *RuleBook) Find(n hsid.RuleNumber) *RuleFile {
+	for i := range b.History {
+		if b.History[i].Number == n {
+			return &b.History[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/query/hsdump/dump.go
@@ -0,0 +1,115 @@
+// Package hsdump copies the state of each role for operators.
+//
+// The roles are read through the small interfaces declared here, on the goroutine that owns them.
+//
+// # Usage
+//
+//	view := hsdump.Control(replica, state)
+package hsdump
+
+import (
+	"cmp"
+	"slices"
+
+	"hyssopseam/core/hsid"
+	"hyssopseam/core/hsmessage"
+	"hyssopseam/core/hsstate"
+	"hyssopseam/core/hsview"
+)
+
+// Log is what a replica tells about its log.
+type Log interface {
+	ID() hsid.ReplicaID
+	Cluster() hsid.ClusterID
+	RoleName() string
+	Term() hsid.Term
+	Commit() hsid.LogIndex
+	Last() hsid.LogIndex
+	LogLength() int
+	LeaderAddress() hsstate.Peer
+	Members() []hsstate.Member
+}
+
+// Control copies the state of a control replica.
+func Control(l Log, s *hsstate.State) *hsview.ControlDump {
+	d := &hsview.ControlDump{
+		Replica:   l.ID(),
+		Cluster:   l.Cluster(),
+		Role:      l.RoleName(),
+		Term:      l.Term(),
+		Commit:    l.Commit(),
+		Last:      l.Last(),
+		LogLength: l.LogLength(),
+		Leader:    string(l.LeaderAddress()),
+		Rules:     s.Rules.InForce.Number,
+		Files:     len(s.Rules.History),
+		Finished:  len(s.Finished),
+		Answers:   s.AnswerBytes,
+		Homes:     len(s.Homes),
+	}
+	for _, m := range l.Members() {
+		part := "learner"
+		if m.Voter {
+			part = "voter"
+		}
+		d.Members = append(d.Members, hsview.Member{ID: m.ID, Instance: m.Instance, Address: string(m.Address), Part: part, Replaces: m.Replaces})
+	}
+	for _, j := range s.Jobs {
+		if j.Phase != hsstate.Finished {
+			d.Jobs = append(d.Jobs, jobDump(j))
+		}
+	}
+	slices.SortFunc(d.Jobs, func(a, b hsview.JobDump) int { return cmp.Compare(a.ID, b.ID) })
+	return d
+}
+
+func jobDump(j *hsstate.Job) hsview.JobDump {
+	d := hsview.JobDump{ID: j.ID, Phase: string(j.Phase), Attempt: j.Attempt, Once: j.Once, Cancel: j.Cancel}
+	for _, m := range j.Members {
+		d.Workers = append(d.Workers, hsview.Placement{Worker: m.Worker, Accelerators: slices.Clone(m.Accelerators)})
+	}
+	return d
+}
+
+// EntryRole is what an entry tells about itself.
+type EntryRole interface {
+	Leader() hsstate.Peer
+	Rules() (hsid.RuleNumber, bool)
+	Pending() int
+	Strays() int
+}
+
+// Entry copies the state of an entry.
+func Entry(e EntryRole) *hsview.EntryDump {
+	number, held := e.Rules()
+	return &hsview.EntryDump{
+		Leader:    string(e.Leader()),
+		Rules:     number,
+		RulesHeld: held,
+		Pending:   e.Pending(),
+		Strays:    e.Strays(),
+	}
+}
+
+// AgentRole is what an agent tells about itself.
+type AgentRole interface {
+	Rules() (hsid.RuleNumber, bool)
+	Worker() (hsmessage.Worker, bool)
+	Tasks() []hsmessage.Task
+}
+
+// Agent copies the state of an agent.
+func Agent(a AgentRole) *hsview.AgentDump {
+	number, held := a.Rules()
+	worker, listed := a.Worker()
+	d := &hsview.AgentDump{Rules: number, RulesHeld: held, Endpoint: worker.Endpoint, Leaving: worker.Leaving, Listed: listed}
+	for _, t := range a.Tasks() {
+		d.Tasks = append(d.Tasks, hsview.TaskDump{
+			Grant:        t.Grant.String(),
+			Phase:        string(t.Phase),
+			Accelerators: slices.Clone(t.Accelerators),
+			Reason:       t.Reason,
+		})
+	}
+	return d
+}
--- /dev/null
+++ b/core/query/hsexplain/explain.go
@@ -0,0 +1,107 @@
+// Package hsexplain says in a few lines why a job waits, runs where it does, or was refused.
+//
+// # Usage
+//
+//	e := hsexplain.Explain(source, job, view)
+//	fmt.Println(e.Summary)
+package hsexplain
+
+import (
+	"fmt"
+	"time"
+
+	"hyssopseam/core/hsfleet"
+	"hyssopseam/core/hssource"
+	"hyssopseam/core/hsstate"
+	"hyssopseam/core/hsview"
+)
+
+// maxCandidates bounds the places that are named.
+const maxCandidates = 5
+
+// Explain explains one job. The source isn't changed.
+func Explain(s *hssource.Source, j *hsstate.Job, v hsview.Job) *hsview.Explanation {
+	e := &hsview.Explanation{Job: v}
+	e.Job.Answer = nil
+	switch j.Phase {
+	case hsstate.Queued:
+		explainQueued(s, j, e)
+	case hsstate.Running:
+		e.Summary = fmt.Sprintf("attempt %d runs on %d workers since %s; it was started under rules %d",
+			j.Attempt, len(j.Members), round(s.Clock-j.Started), j.StartRules)
+		if j.Cancel {
+			e.Obstacles = append(e.Obstacles, "it was cancelled and is being stopped")
+		}
+		if stop := s.Stops[j.ID]; stop != "" {
+			e.Obstacles = append(e.Obstacles, fmt.Sprintf("it is being stopped: %s", stop))
+		}
+	case hsstate.Finished:
+		e.Summary = fmt.Sprintf("%s after %d attempts; %s", j.Outcome, j.Attempt, ranText(j))
+		if j.Detail != "" {
+			e.Obstacles = append(e.Obstacles, j.Detail)
+		}
+	}
+	return e
+}
+
+func ranText(j *hsstate.Job) string {
+	if j.Ran {
+		return "it ran at least in part"
+	}
+	return "no part of it ran"
+}
+
+func round(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
+func explainQueued(s *hssource.Source, j *hsstate.Job, e *hsview.Explanation) {
+	for i, o := range s.Queue {
+		if o.ID == j.ID {
+			e.Ahead = i
+		}
+	}
+	e.Summary = fmt.Sprintf("it waits since %s with %d jobs ahead of it; predicted start in %s",
+		round(s.Clock-j.Accepted), e.Ahead, round(e.Job.PredictStart))
+	if s.State.Rules.InForce.Number == 0 {
+		e.Obstacles = append(e.Obstacles, "no rules are in force")
+	}
+	if n, ok := s.Notes[j.ID]; ok {
+		e.Obstacles = append(e.Obstacles, n.Obstacle)
+		for _, w := range n.Waits {
+			e.Obstacles = append(e.Obstacles, "kept for it: "+w)
+		}
+	}
+	if j.Lost > 0 {
+		e.Obstacles = append(e.Obstacles, fmt.Sprintf("%d attempts ended without an answer; last: %s", j.Lost, j.Detail))
+	}
+	if c := s.Claims[j.ID]; c != nil {
+		e.Candidates = append(e.Candidates, claimText(s, c))
+		return
+	}
+	e.Candidates = candidates(s, j)
+}
+
+func claimText(s *hssource.Source, c *hsfleet.Claim) string {
+	text := fmt.Sprintf("a %s, ready in about %s:", c.Kind, round(max(c.Ready-s.Clock, 0)))
+	for _, p := range c.Parts {
+		text += fmt.Sprintf(" %s%v", p.Worker, p.Mask.Set())
+	}
+	return text
+}
+
+// candidates names the racks that come closest to holding the job.
+func candidates(s *hssource.Source, j *hsstate.Job) []string {
+	var all []string
+	for i := range s.Layout.Racks {
+		r := &s.Layout.Racks[i]
+		fits := 0
+		for _, slot := range r.Slots {
+			if slot.RoomFor(&j.Spec) && slot.Free.Count() >= j.Spec.Shape.PerWorker {
+				fits++
+			}
+		}
+		if fits > 0 && len(all) < maxCandidates {
+			all = append(all, fmt.Sprintf("rack %s/%s: %d of %d workers have room now", r.Zone, r.ID, fits, j.Spec.Shape.Workers))
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/core/query/hsreport/reader.go
@@ -0,0 +1,124 @@
+// Package hsreport answers the queries about jobs, workers, rules, members and the whole.
+//
+// Reader copies what it reports out of a leader's Source. It changes nothing and keeps nothing; it runs
+// on the goroutine that owns the Source.
+//
+// # Usage
+//
+//	view, ok := hsreport.Reader{}.Read(source, query)
+package hsreport
+
+import (
+	"hyssopseam/core/hsid"
+	"hyssopseam/core/hsmessage"
+	"hyssopseam/core/hssource"
+	"hyssopseam/core/hsstate"
+	"hyssopseam/core/hsview"
+	"hyssopseam/core/query/hsexplain"
+)
+
+// MaxJobs bounds the jobs of one list; the newest are listed.
+const MaxJobs = 500
+
+// Reader answers queries from a Source.
+type Reader struct{}
+
+// Read returns what a query asks for, and false when the job that it names doesn't exist.
+func (Reader) Read(s *hssource.Source, q hsmessage.Query) (*hsview.View, bool) {
+	v := &hsview.View{}
+	switch q.Kind {
+	case hsmessage.QueryJob, hsmessage.QueryExplain:
+		j := s.State.Jobs[q.Job]
+		if j == nil {
+			return nil, false
+		}
+		job := JobView(s, j)
+		if q.Kind == hsmessage.QueryJob {
+			v.Job = &job
+			return v, true
+		}
+		v.Explain = hsexplain.Explain(s, j, job)
+	case hsmessage.QueryJobs:
+		v.Jobs = jobs(s)
+	case hsmessage.QueryStatus:
+		v.Status = status(s)
+	case hsmessage.QueryWorkers:
+		v.Workers = workers(s)
+	case hsmessage.QueryRules:
+		v.Rules = rules(s)
+	case hsmessage.QueryHistory:
+		v.History = history(s, q.Number)
+	case hsmessage.QueryMembers:
+		members := s.Members
+		v.Members = &members
+	}
+	return v, true
+}
+
+// JobView returns one job as its caller sees it.
+func JobView(s *hssource.Source, j *hsstate.Job) hsview.Job {
+	v := hsview.Job{
+		ID:         j.ID,
+		Workspace:  j.Spec.Workspace,
+		Kind:       j.Spec.Kind,
+		Shape:      j.Spec.Shape.String(),
+		Class:      j.Spec.Class.String(),
+		Phase:      string(j.Phase),
+		Attempt:    j.Attempt,
+		AcceptedIn: j.Rules,
+		StartedIn:  j.StartRules,
+		Ran:        j.Ran || j.Phase == hsstate.Running,
+		Outcome:    string(j.Outcome),
+		Detail:     j.Detail,
+		Answer:     j.Answer,
+		AnswerSum:  j.AnswerSum,
+		AnswerLost: j.Outcome == hsstate.Answered && j.Answer == nil && j.AnswerSum != "",
+		Cancelling: j.Cancel && j.Phase == hsstate.Running,
+	}
+	for _, m := range j.Members {
+		v.Workers = append(v.Workers, placement(m.Worker, m.Accelerators))
+	}
+	switch j.Phase {
+	case hsstate.Queued:
+		v.Waited = s.Clock - j.Accepted
+		v.PredictStart = s.Predict(j)
+	case hsstate.Running:
+		v.Waited = j.Started - j.Accepted
+	case hsstate.Finished:
+		v.Waited = max(j.Started-j.Accepted, 0)
+	}
+	return v
+}
+
+func placement(w hsid.InstanceID, set []hsid.AcceleratorIndex) hsview.Placement {
+	return hsview.Placement{Worker: w, Accelerators: append([]hsid.AcceleratorIndex(nil), set...)}
+}
+
+func rules(s *hssource.Source) *hsview.Rules {
+	v := &hsview.Rules{Everywhere: s.Everywhere, Lagging: s.Lagging, Processes: s.Processes}
+	if f := s.State.Rules.Find(s.State.Rules.InForce.Number); f != nil {
+		v.File = ruleFile(f)
+	}
+	return v
+}
+
+func ruleFile(f *hsstate.RuleFile) hsview.RuleFile {
+	return hsview.RuleFile{Number: f.Number, Operator: f.Operator, Sum: f.Sum, Content: f.Content}
+}
+
+// history lists the accepted files without their contents, or with a number that file with its content.
+func history(s *hssource.Source, n hsid.RuleNumber) []hsview.RuleFile {
+	if f := s.State.Rules.Find(n); f != nil {
+		return []hsview.RuleFile{ruleFile(f)}
+	}
+	if n != 0 {
+		return nil
+	}
+	files := make([]hsview.RuleFile, 0, len(s.State.Rules.History))
+	for i := range s.State.Rules.History {
+		f := ruleFile(&s.State.Rules.History[i])
+		f.Content = ""
+		files = append(files, f)
+	}
+	return files
+}
--- /dev/null
+++ b/core/query/hsreport/status.go
@@ -0,0 +1,163 @@
+package hsreport
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"hyssopseam/core/hsestimate"
+	"hyssopseam/core/hsfleet"
+	"hyssopseam/core/hshome"
+	"hyssopseam/core/hsid"
+	"hyssopseam/core/hssource"
+	"hyssopseam/core/hsstate"
+	"hyssopseam/core/hsview"
+)
+
+// stopQuantile is the part of observed stops, in percent, that the reclaim time covers.
+const stopQuantile = 99
+
+// status sums up the whole.
+func status(s *hssource.Source) *hsview.Status {
+	v := &hsview.Status{
+		Leader:        s.Leader,
+		Term:          s.Term,
+		Rules:         s.State.Rules.InForce.Number,
+		Everywhere:    s.Everywhere,
+		Lagging:       s.Lagging,
+		Workers:       s.Fleet.Len(),
+		Accelerators:  s.Layout.Total,
+		Free:          s.Layout.Free(),
+		Fragmentation: s.Layout.Fragmentation(s.Demand),
+		Queued:        len(s.Queue),
+		Finished:      len(s.State.Finished),
+		Guarantees:    guarantees(s),
+		Completion:    completion(s),
+		Learning:      s.Learning,
+	}
+	if s.Demand.Total() > 0 {
+		v.LargestDemand = s.Demand.String()
+	}
+	for _, j := range s.State.Jobs {
+		if j.Phase == hsstate.Running {
+			v.Running++
+		}
+	}
+	for _, j := range s.Queue {
+		v.OldestWait = max(v.OldestWait, s.Clock-j.Accepted)
+	}
+	s.Fleet.Each(func(w *hsfleet.Worker) {
+		if w.Quarantined {
+			v.Quarantined = append(v.Quarantined, w.Report.Instance)
+		}
+	})
+	return v
+}
+
+// guarantees reports how each guarantee stands, and which losses would unback it.
+func guarantees(s *hssource.Source) []hsview.Guarantee {
+	rules := s.State.Rules.InForce.Guarantees
+	views := make([]hsview.Guarantee, len(rules))
+	for i := range rules {
+		g := &rules[i]
+		v := hsview.Guarantee{
+			Workspace: g.Workspace,
+			Shape:     g.Shape.String(),
+			Within:    g.Within,
+			Reason:    "no home was found yet",
+		}
+		if h := hshome.Find(s.State.Homes, g); h != nil {
+			backing(s, g, h, &v)
+		}
+		views[i] = v
+	}
+	for _, loss := range hshome.Fragile(s.Layout, rules, s.State.Homes) {
+		for _, i := range loss.Unbacked {
+			views[i].Fragile = append(views[i].Fragile, loss.Name)
+		}
+	}
+	return views
+}
+
+// backing tells whether a home can be taken back within the guaranteed time.
+func backing(s *hssource.Source, g *hsstate.Guarantee, h *hsstate.Home, v *hsview.Guarantee) {
+	v.Reason = h.Reason
+	v.Backed = len(h.Parts) > 0
+	for _, p := range h.Parts {
+		v.Home = append(v.Home, placement(p.Worker, p.Accelerators))
+		slot := s.Layout.Slot(p.Worker)
+		if slot == nil || !slot.Usable {
+			v.Backed = false
+			v.Reason = "worker " + string(p.Worker) + " of its home takes no work now"
+		}
+	}
+	for _, j := range s.State.Jobs {
+		if j.Phase != hsstate.Running || j.Spec.Workspace == g.Workspace || !occupies(j, h) {
+			continue
+		}
+		took, ok := hsestimate.Stop(s.State, j.Spec.Workspace, j.Spec.Kind, stopQuantile)
+		switch {
+		case j.Once:
+			v.Backed = false
+			v.Reason = "job " + string(j.ID) + " on its home never runs twice, so it isn't stopped"
+		case !ok || took > g.Within:
+			v.Backed = false
+			v.Reason = "job " + string(j.ID) + " on its home wasn't seen to stop within the time"
+		}
+		v.Reclaim = max(v.Reclaim, took)
+	}
+}
+
+func occupies(j *hsstate.Job, h *hsstate.Home) bool {
+	for _, m := range j.Members {
+		for _, x := range m.Accelerators {
+			if h.Holds(m.Worker, x) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+type completionKey struct {
+	class     hsstate.Class
+	workspace hsid.WorkspaceID
+}
+
+// completion summarizes the time from acceptance to answer of the remembered jobs.
+func completion(s *hssource.Source) []hsview.Completion {
+	times := map[completionKey][]time.Duration{}
+	for _, id := range s.State.Finished {
+		j := s.State.Jobs[id]
+		if j.Outcome == hsstate.Answered {
+			k := completionKey{class: j.Spec.Class, workspace: j.Spec.Workspace}
+			times[k] = append(times[k], j.Ended-j.Accepted)
+		}
+	}
+	keys := make([]completionKey, 0, len(times))
+	for k := range times {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b completionKey) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.workspace, b.workspace))
+	})
+	views := make([]hsview.Completion, 0, len(keys))
+	for _, k := range keys {
+		views = append(views, hsview.Completion{Class: k.class.String(), Workspace: k.workspace, Spread: Spread(times[k])})
+	}
+	return views
+}
+
+// Spread sorts durations and summarizes them.
+func Spread(d []time.Duration) hsview.Spread {
+	if len(d) == 0 {
+		return hsview.Spread{}
+	}
+	slices.Sort(d)
+	return hsview.Spread{
+		Count: len(d),
+		P50:   d[(len(d)-1)*50/100],
+		P99:   d[(len(d)-1)*99/100],
+		Max:   d[len(d)-1],
+	}
+}
--- /dev/null
+++ b/io/hsapp/role.go
@@ -0,0 +1,200 @@
+package hsapp
+
+import (
+	"cmp"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"hyssopseam/core/command/hsagent"
+	"hyssopseam/core/command/hscontrol"
+	"hyssopseam/core/command/hsentry"
+	"hyssopseam/core/command/hsplacement"
+	"hyssopseam/core/command/hsqueue"
+	"hyssopseam/core/command/hsquorum"
+	"hyssopseam/core/hsid"
+	"hyssopseam/core/hsmessage"
+	"hyssopseam/core/hsstate"
+	"hyssopseam/core/query/hsreport"
+	"hyssopseam/io/hsclock"
+	"hyssopseam/io/hscodec"
+	"hyssopseam/io/hsdisk"
+	"hyssopseam/io/hslink"
+	"hyssopseam/io/hslog"
+	"hyssopseam/io/hsmetric"
+	"hyssopseam/io/hsplatform"
+	"hyssopseam/io/hsprocess"
+	"hyssopseam/io/hssettings"
+)
+
+// base is what every role of a process shares.
+type base struct {
+	settings    *hssettings.Settings
+	log         *slog.Logger
+	process     *hsprocess.Process
+	links       *hslink.Links
+	metrics     *hsmetric.Metrics
+	incarnation hsid.Incarnation
+}
+
+func newIncarnation() hsid.Incarnation { return hsclock.NewIncarnation() }
+
+func newProcess(log *slog.Logger) *hsprocess.Process {
+	return hsprocess.New(hsclock.System{}, hslog.Part(log, "process"))
+}
+
+func newLinks(s *hssettings.Settings, log *slog.Logger, p *hsprocess.Process) (*hslink.Links, error) {
+	c := hslink.Config{Instance: s.Instance, Roles: s.Roles, Address: cmp.Or(s.Listen, s.Link)}
+	if s.TLS.Enabled() {
+		var err error
+		if c.ServerTLS, c.ClientTLS, err = linkTLS(s.TLS); err != nil {
+			return nil, err
+		}
+	}
+	return hslink.New(c, hslog.Part(log, "link"), p.Receive), nil
+}
+
+// sender sends over the links, and to this process itself through its inbox.
+type sender struct {
+	links   *hslink.Links
+	process *hsprocess.Process
+	self    hsstate.Peer
+	log     *slog.Logger
+}
+
+func newSender(b *base) *sender {
+	return &sender{links: b.links, process: b.process, self: b.settings.Link, log: hslog.Part(b.log, "sender")}
+}
+
+// Send sends a message. One to this process is encoded and decoded like any other, so that nothing is
+// shared between the roles.
+func (s *sender) Send(to hsstate.Peer, m hsmessage.Message) {
+	if to != s.self || to == "" {
+		s.links.Send(to, m)
+		return
+	}
+	data, err := hscodec.EncodeMessage(m)
+	if err != nil {
+		s.log.Error("message can't be encoded", "error", err)
+		return
+	}
+	copied, err := hscodec.DecodeMessage(data)
+	if err != nil {
+		s.log.Error("message can't be decoded", "error", err)
+		return
+	}
+	if !s.process.Post(s.self, copied) {
+		s.links.Counters.Dropped.Add(1)
+	}
+}
+
+// openedDisk is a disk with what was read from it.
+type openedDisk struct {
+	disk     *hsdisk.Disk
+	contents hsdisk.Contents
+}
+
+// openDisk opens the data folder; the second result closes it.
+func openDisk(b *base) (openedDisk, func(), error) {
+	d, c, err := hsdisk.Open(b.settings.DataFolder, b.process.Synced)
+	if err != nil {
+		return openedDisk{}, nil, err
+	}
+	log := hslog.Part(b.log, "disk")
+	if c.Cut > 0 {
+		log.Warn("torn record was cut off", "bytes", c.Cut)
+	}
+	if len(c.Stored.Entries) == 0 && c.Stored.Snapshot.Index == 0 {
+		log.Info("data folder is empty, this replica waits to join", "replica", c.Replica)
+	}
+	cleanup := func() {
+		if err := d.Close(); err != nil {
+			log.Error("log wasn't closed", "error", err)
+		}
+	}
+	return openedDisk{disk: d, contents: c}, cleanup, nil
+}
+
+func newControl(b *base, d openedDisk, p hscontrol.Ports) (*hscontrol.Control, error) {
+	p.Storage = d.disk
+	control, err := hscontrol.New(controlConfig(b.settings, d.contents.Replica), p, d.contents.Stored)
+	if err != nil {
+		return nil, fmt.Errorf("hsapp: %w", err)
+	}
+	return control, nil
+}
+
+func controlPorts(b *base, s *sender) hscontrol.Ports {
+	return hscontrol.Ports{
+		Clock:    hsclock.System{},
+		Random:   hsclock.Random{},
+		Sender:   s,
+		Codec:    hscodec.State{},
+		Reader:   hsreport.Reader{},
+		Observer: b.metrics,
+	}
+}
+
+func controlConfig(s *hssettings.Settings, id hsid.ReplicaID) hscontrol.Config {
+	c := s.Control
+	return hscontrol.Config{
+		Quorum: hsquorum.Config{
+			ID:            id,
+			Instance:      s.Instance,
+			Address:       s.Link,
+			Heartbeat:     time.Duration(c.Heartbeat),
+			Election:      time.Duration(c.Election),
+			SnapshotEvery: c.SnapshotEvery,
+		},
+		Controls: s.Controls,
+		Weights: hsplacement.Weights{
+			Completion:    weight(c.CompletionWeight),
+			Fragmentation: weight(c.FragmentationWeight),
+		},
+		AgeBounds:  hsqueue.AgeBounds{time.Duration(c.AgeUrgent), time.Duration(c.AgeNormal), time.Duration(c.AgeBatch)},
+		RulesLease: time.Duration(c.RulesLease),
+		RunLease:   time.Duration(c.RunLease),
+		Prepare:    time.Duration(c.Prepare),
+		CoolDown:   time.Duration(c.CoolDown),
+		Replicas:   c.Replicas,
+	}
+}
+
+func weight(w *float64) float64 {
+	if w == nil {
+		return hssettings.DefaultWeight
+	}
+	return *w
+}
+
+func newEntry(b *base, s *sender) *hsentry.Entry {
+	c := hsentry.Config{Instance: b.settings.Instance, Incarnation: b.incarnation, Controls: b.settings.Controls}
+	return hsentry.New(c, hsentry.Ports{
+		Clock:    hsclock.System{},
+		Random:   hsclock.Random{},
+		Sender:   s,
+		Answerer: b.process,
+	})
+}
+
+// agentRole is the agent role with its platform.
+type agentRole struct {
+	agent    *hsagent.Agent
+	platform *hsplatform.Platform
+}
+
+func newPlatform(b *base) (*hsplatform.Platform, func()) {
+	p := hsplatform.New(b.process, hslog.Part(b.log, "platform"))
+	return p, p.Close
+}
+
+func newAgent(b *base, s *sender, p *hsplatform.Platform) *hsagent.Agent {
+	c := hsagent.Config{
+		Instance:    b.settings.Instance,
+		Incarnation: b.incarnation,
+		Controls:    b.settings.Controls,
+		Interval:    time.Duration(b.settings.Agent.Interval),
+		Announce:    time.Duration(b.settings.Agent.Announce),
+	}
+	return hsagent.New(c, hsclock.System{}, s, p)
+}
--- /dev/null
+++ b/io/hsendpoint/protocol.go
@@ -0,0 +1,124 @@
+// Package hsendpoint describes the HTTP protocol between an agent and the endpoint beside it.
+//
+// The endpoint announces itself with PUT /v1/endpoint on the agent, again and again while it is there,
+// and with leaving set once it takes no new work. The agent drives tasks on the endpoint:
+//
+//	GET    /tasks?agent=N           list the tasks; starts of agents before N are refused from now on
+//	POST   /tasks/JOB/ATTEMPT/TERM  start a task; repeating it does nothing more
+//	GET    /tasks/JOB/ATTEMPT/TERM  wait for its end, at most ?wait=T
+//	POST   /tasks/JOB/ATTEMPT/TERM/stop  checkpoint and stop it
+//	DELETE /tasks/JOB/ATTEMPT/TERM  forget it, once its answer is collected
+//
+// An endpoint keeps what it ran until it is told to forget it.
+//
+// # Usage
+//
+//	path := hsendpoint.TaskPath(grant)
+//	grant, err := hsendpoint.ParseGrant(job, attempt, term)
+package hsendpoint
+
+import (
+	"fmt"
+	"net/url"
+	"strconv"
+
+	"hyssopseam/core/hsid"
+	"hyssopseam/core/hsmessage"
+	"hyssopseam/core/hsshape"
+)
+
+// MaxBody bounds the bodies of this protocol.
+const MaxBody = 4 * hsid.MiB
+
+// Announcement is the body of PUT /v1/endpoint.
+type Announcement struct {
+	// Endpoint tells one life of the endpoint from the next; it isn't zero.
+	Endpoint hsid.Incarnation `json:"endpoint"`
+	// Address is the IP:port on which the endpoint takes tasks.
+	Address string      `json:"address"`
+	Zone    hsid.ZoneID `json:"zone"`
+	Rack    hsid.RackID `json:"rack"`
+	// Groups are disjoint sets of adjacent accelerators.
+	Groups      []hsshape.Group `json:"groups"`
+	MilliCores  hsid.MilliCores `json:"milliCores"`
+	MemoryBytes hsid.Bytes      `json:"memoryBytes"`
+	// Slots bounds the tasks that run at once; zero for no bound.
+	Slots   int  `json:"slots"`
+	Leaving bool `json:"leaving"`
+}
+
+// Worker checks the announcement and returns the worker that it describes.
+func (a *Announcement) Worker() (hsmessage.Worker, error) {
+	w := hsmessage.Worker{
+		Zone:     a.Zone,
+		Rack:     a.Rack,
+		Endpoint: a.Endpoint,
+		Groups:   a.Groups,
+		Cores:    a.MilliCores,
+		Memory:   a.MemoryBytes,
+		Slots:    a.Slots,
+		Leaving:  a.Leaving,
+	}
+	if a.Endpoint == 0 || a.Rack == "" || a.MilliCores < 0 || a.MemoryBytes < 0 || a.Slots < 0 {
+		return w, fmt.Errorf("hsendpoint: endpoint and rack must be named, and sizes must not be below zero")
+	}
+	seen := map[hsid.AcceleratorIndex]bool{}
+	for _, g := range a.Groups {
+		for i, x := range g {
+			if x < 0 || hsid.Accelerators(x) >= hsshape.MaxPerWorker || seen[x] || i > 0 && g[i-1] >= x {
+				return w, fmt.Errorf("hsendpoint: groups must be ascending, disjoint and below %d", hsshape.MaxPerWorker)
+			}
+			seen[x] = true
+		}
+	}
+	return w, nil
+}
+
+// StartBody is the body of a start.
+type StartBody struct {
+	Agent        hsid.Incarnation `json:"agent"`
+	Rank         int              `json:"rank"`
+	Size         int              `json:"size"`
+	Accelerators hsshape.Set      `json:"accelerators"`
+	Once         bool             `json:"once"`
+	Workspace    hsid.WorkspaceID `json:"workspace"`
+	Kind         hsid.JobKind     `json:"kind"`
+	Input        []byte           `json:"input"`
+}
+
+// TaskBody describes a task. Outcome is empty while it runs.
+type TaskBody struct {
+	Job          hsid.JobID          `json:"job"`
+	Attempt      hsid.Attempt        `json:"attempt"`
+	Term         hsid.Term           `json:"term"`
+	Accelerators hsshape.Set         `json:"accelerators"`
+	Once         bool                `json:"once"`
+	Outcome      hsmessage.TaskPhase `json:"outcome"`
+	Reason       string              `json:"reason"`
+	Answer       []byte              `json:"answer"`
+	// Sum is the SHA-256 checksum of the answer in hexadecimal digits.
+	Sum string `json:"sum"`
+}
+
+// Grant returns the grant that the task runs under.
+func (t *TaskBody) Grant() hsid.Grant {
+	return hsid.Grant{Job: t.Job, Attempt: t.Attempt, Term: t.Term}
+}
+
+// TaskPath returns the path of a task.
+func TaskPath(g hsid.Grant) string {
+	return fmt.Sprintf("/tasks/%s/%d/%d", url.PathEscape(string(g.Job)), g.Attempt, g.Term)
+}
+
+// ParseGrant reads the three parts of a task's path.
+func ParseGrant(job, attempt, term string) (hsid.Grant, error) {
+	a, err := strconv.ParseUint(attempt, 10, 32)
+	if err != nil {
+		return hsid.Grant{}, fmt.Errorf("hsendpoint: attempt: %w", err)
+	}
+	t, err := strconv.ParseUint(term, 10, 64)
+	if err != nil {
+		return hsid.Grant{}, fmt.Errorf("hsendpoint: term: %w", err)
+	}
+	return hsid.Grant{Job: hsid.JobID(job), Attempt: hsid.Attempt(a), Term: hsid.Term(t)}, nil
+}
--- /dev/null
+++ b/io/hsmetric/metric.go
@@ -0,0 +1,101 @@
+// Package hsmetric holds the Prometheus metrics of a process.
+//
+// Every name starts with hyssopseam_; docs/OPERATIONS.md lists them. Observer implements what the control
+// role tells; the other metrics are read from snapshots when they are collected, so that no other part
+// knows of metrics. Everything is safe for concurrent use.
+//
+// # Usage
+//
+//	m := hsmetric.New()
+//	m.WatchProcess(process.Published, process.Busy)
+//	http.Handle("/metrics", m.Handler())
+package hsmetric
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"hyssopseam/core/hsstate"
+)
+
+const namespace = "hyssopseam"
+
+// Metrics is the registry of one process.
+type Metrics struct {
+	registry *prometheus.Registry
+	accepted *prometheus.CounterVec
+	refused  *prometheus.CounterVec
+	started  *prometheus.HistogramVec
+	ended    *prometheus.CounterVec
+	requeued prometheus.Counter
+	leading  prometheus.Gauge
+}
+
+// New returns a registry with the metrics of the control role and the Go runtime.
+func New() *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		accepted: counters("jobs_accepted_total", "Jobs accepted, by class.", "class"),
+		refused:  counters("jobs_refused_total", "Jobs refused as not run, by reason.", "reason"),
+		started: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace,
+			Name:      "job_start_wait_seconds",
+			Help:      "Time from acceptance to the committed start, by class.",
+			Buckets:   []float64{0.01, 0.05, 0.1, 0.2, 0.5, 1, 1.4, 2, 5, 10, 30, 60, 300, 1800, 7200},
+		}, []string{"class"}),
+		ended:    counters("jobs_ended_total", "Jobs ended, by outcome.", "outcome"),
+		requeued: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "jobs_requeued_total", Help: "Attempts that ended without an answer."}),
+		leading:  prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "leading", Help: "1 while this replica leads."}),
+	}
+	m.registry.MustRegister(m.accepted, m.refused, m.started, m.ended, m.requeued, m.leading)
+	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+func counters(name, help, label string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, []string{label})
+}
+
+// Gauge adds a metric that is read when it is collected.
+func (m *Metrics) Gauge(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
+// Counter adds a metric that only grows and is read when it is collected.
+func (m *Metrics) Counter(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
+// Handler serves the metrics.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Led records the start or end of leadership.
+func (m *Metrics) Led(leading bool) {
+	m.leading.Set(0)
+	if leading {
+		m.leading.Set(1)
+	}
+}
+
+// Accepted counts an accepted job.
+func (m *Metrics) Accepted(j *hsstate.Job) { m.accepted.WithLabelValues(j.Spec.Class.String()).Inc() }
+
+// Refused counts a refused job.
+func (m *Metrics) Refused(reason string) { m.refused.WithLabelValues(reason).Inc() }
+
+// Started records the wait of a started job.
+func (m *Metrics) Started(j *hsstate.Job, waited time.Duration) {
+	m.started.WithLabelValues(j.Spec.Class.String()).Observe(waited.Seconds())
+}
+
+// Ended counts a finished job.
+func (m *Metrics) Ended(j *hsstate.Job) { m.ended.WithLabelValues(string(j.Outcome)).Inc() }
+
+// Requeued counts an attempt that ended without an answer.
+func (m *Metrics) Requeued(*hsstate.Job) { m.requeued.Inc() }
--- /dev/null
+++ b/io/hsserver/server.go
@@ -0,0 +1,257 @@
+// Package hsserver serves the HTTP interface of a process: commands and queries where it holds the entry
+// role, the endpoint's announcements where it holds the agent role, and for every process
+//
+//	GET /healthz  200 while the process runs
+//	GET /readyz   200 while it takes requests; 503 while it starts, stops or lost control
+//	GET /metrics  Prometheus metrics
+//	GET /dump     the state of each role
+//	GET /openapi  the description of the interface
+//
+// Headers, bodies and idle connections have time limits, so slow senders hold nothing for long.
+//
+// # Usage
+//
+//	s := hsserver.New(config, process, metrics)
+//	err := s.Listen()
+//	s.Shutdown(ctx)
+package hsserver
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/emicklei/go-restful/v3"
+
+	"hyssopseam/core/hsmessage"
+	"hyssopseam/core/hsview"
+	"hyssopseam/io/command/hscommandapi"
+	"hyssopseam/io/hsendpoint"
+	"hyssopseam/io/hsjson"
+	"hyssopseam/io/hsproblem"
+	"hyssopseam/io/hsprocess"
+	"hyssopseam/io/query/hsqueryapi"
+)
+
+const (
+	headerTime = 5 * time.Second
+	bodyTime   = 15 * time.Second
+	idleTime   = 2 * time.Minute
+	// maxHeader bounds the headers of a request, in bytes.
+	maxHeader = 16 << 10
+)
+
+// Config tells what is served where.
+type Config struct {
+	Address string
+	Entry   bool
+	Agent   bool
+	TLS     *tls.Config
+}
+
+// Process is what the handlers need of the running roles.
+type Process interface {
+	hscommandapi.Asker
+	Published() *hsprocess.Published
+	Dump(ctx context.Context) (hsview.Dump, error)
+	Announce(w hsmessage.Worker) bool
+}
+
+// Addresser is told where the endpoint takes tasks.
+type Addresser interface {
+	SetAddress(address string)
+}
+
+// Server is the HTTP server of one process.
+type Server struct {
+	config   Config
+	process  Process
+	platform Addresser
+	log      *slog.Logger
+	server   *http.Server
+	stopping atomic.Bool
+}
+
+// New returns a server that doesn't listen yet. Platform is nil without the agent role.
+func New(c Config, p Process, metrics http.Handler, platform Addresser, log *slog.Logger) *Server {
+	s := &Server{config: c, process: p, platform: platform, log: log}
+	container := restful.NewContainer()
+	container.Router(restful.CurlyRouter{})
+	container.ServiceErrorHandler(serviceError)
+	if c.Entry {
+		ws := new(restful.WebService).Path("/v1").Consumes(restful.MIME_JSON).Produces(restful.MIME_JSON)
+		hscommandapi.New(p).Register(ws)
+		hsqueryapi.New(p).Register(ws)
+		container.Add(ws)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", container)
+	if c.Agent {
+		mux.HandleFunc("PUT /v1/endpoint", s.announce)
+	}
+	mux.Handle("GET /metrics", metrics)
+	mux.HandleFunc("GET /healthz", s.healthy)
+	mux.HandleFunc("GET /readyz", s.ready)
+	mux.HandleFunc("GET /dump", s.dump)
+	mux.HandleFunc("GET /openapi", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, describe(container.RegisteredWebServices()))
+	})
+	s.server = &http.Server{
+		Handler:           limitBodies(mux),
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       idleTime,
+		MaxHeaderBytes:    maxHeader,
+		TLSConfig:         c.TLS,
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	return s
+}
+
+// timedBody takes the time limit off a connection once the body was read, so that it doesn't end the wait
+// for the answer.
+type timedBody struct {
+	io.ReadCloser
+	control *http.ResponseController
+}
+
+// Read reads from the body.
+func (b *timedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		_ = b.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
+// limitBodies bounds the time that a body may take to arrive.
+func limitBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body != nil && r.Body != http.NoBody {
+			control := http.NewResponseController(w)
+			_ = control.SetReadDeadline(time.Now().Add(bodyTime))
+			r.Body = &timedBody{ReadCloser: r.Body, control: control}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// serviceError answers requests that no route takes.
+func serviceError(err restful.ServiceError, _ *restful.Request, response *restful.Response) {
+	outcome := hsproblem.BadRequest
+	if err.Code == http.StatusNotFound {
+		outcome = hsproblem.Missing
+	}
+	hsproblem.Write(response, hsproblem.New(err.Code, outcome, err.Message))
+}
+
+// Listen starts serving.
+func (s *Server) Listen() error {
+	listener, err := net.Listen("tcp", s.config.Address)
+	if err != nil {
+		return fmt.Errorf("hsserver: listen on %s: %w", s.config.Address, err)
+	}
+	if s.config.TLS != nil {
+		listener = tls.NewListener(listener, s.config.TLS)
+	}
+	go func() {
+		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			s.log.Error("serving ended", "error", err)
+		}
+	}()
+	return nil
+}
+
+// Unready makes the readiness check fail, so that the balancer sends requests elsewhere.
+func (s *Server) Unready() { s.stopping.Store(true) }
+
+// Shutdown takes no new connections and waits for the requests under way.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("hsserver: %w", err)
+	}
+	return nil
+}
+
+func (s *Server) healthy(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, health{Status: "running"})
+}
+
+// health is the answer of the checks.
+type health struct {
+	Status string `json:"status"`
+	Reason string `json:"reason,omitempty"`
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	reason := ""
+	switch p := s.process.Published(); {
+	case s.stopping.Load():
+		reason = "the process is stopping"
+	case !p.RulesOK && (s.config.Entry || s.config.Agent):
+		reason = "the process holds no rules lease"
+	case !p.RulesOK:
+		reason = "the replica knows no leader"
+	}
+	if reason != "" {
+		w.Header().Set("Content-Type", restful.MIME_JSON)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_ = json.NewEncoder(w).Encode(health{Status: "not ready", Reason: reason})
+		return
+	}
+	writeJSON(w, health{Status: "ready"})
+}
+
+func (s *Server) dump(w http.ResponseWriter, r *http.Request) {
+	d, err := s.process.Dump(r.Context())
+	if err != nil {
+		hsproblem.Write(w, hsproblem.New(http.StatusServiceUnavailable, hsproblem.Unknown, err.Error()))
+		return
+	}
+	data, err := hsjson.Marshal(d)
+	if err != nil {
+		hsproblem.Write(w, hsproblem.New(http.StatusInternalServerError, hsproblem.Unknown, err.Error()))
+		return
+	}
+	w.Header().Set("Content-Type", restful.MIME_JSON)
+	_, _ = w.Write(data)
+}
+
+// announce takes an announcement of the endpoint.
+func (s *Server) announce(w http.ResponseWriter, r *http.Request) {
+	var a hsendpoint.Announcement
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, int64(hsendpoint.MaxBody)))
+	if err := d.Decode(&a); err != nil {
+		hsproblem.Write(w, hsproblem.New(http.StatusBadRequest, hsproblem.BadRequest, err.Error()))
+		return
+	}
+	worker, err := a.Worker()
+	if err != nil {
+		hsproblem.Write(w, hsproblem.New(http.StatusBadRequest, hsproblem.BadRequest, err.Error()))
+		return
+	}
+	if _, _, err := net.SplitHostPort(a.Address); err != nil {
+		hsproblem.Write(w, hsproblem.New(http.StatusBadRequest, hsproblem.BadRequest, "address: "+err.Error()))
+		return
+	}
+	s.platform.SetAddress(a.Address)
+	if !s.process.Announce(worker) {
+		p := hsproblem.New(http.StatusServiceUnavailable, hsproblem.NotRun, "the process has too many inputs waiting")
+		p.RetryAfter = time.Second
+		hsproblem.Write(w, p)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", restful.MIME_JSON)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/io/hssettings/settings.go
@@ -0,0 +1,171 @@
+// Package hssettings reads and checks the TOML settings of a process.
+//
+// Unknown keys are refused, and so are host names, missing parts and impossible values. Every fault names
+// the key, its line, and what would be right; all faults of a file are reported together.
+//
+//	instance   = "adum-1"
+//	zone       = "adum"
+//	roles      = ["control"]
+//	link       = "127.10.1.1:7100"
+//	http       = "127.10.1.1:8100"
+//	controls   = ["127.10.1.1:7100", "127.10.2.1:7100", "127.10.3.1:7100"]
+//	dataFolder = "data/adum-1"
+//
+// # Usage
+//
+//	s, err := hssettings.Load("adum-1.toml")
+//	if err != nil {
+//		fmt.Fprintln(os.Stderr, err)
+//	}
+package hssettings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"hyssopseam/core/hsid"
+	"hyssopseam/core/hsmessage"
+	"hyssopseam/core/hsstate"
+)
+
+// Duration is a time written as text, such as "1.5s".
+type Duration time.Duration
+
+// UnmarshalText reads a duration.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is not a time such as \"1.5s\"", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Settings are the settings of one process.
+type Settings struct {
+	Instance hsid.InstanceID  `toml:"instance"`
+	Zone     hsid.ZoneID      `toml:"zone"`
+	Roles    []hsmessage.Role `toml:"roles"`
+	// Link is where other processes connect; only the control role needs it.
+	Link hsstate.Peer `toml:"link"`
+	// Listen is the address that Link leads to, when it is another one.
+	Listen hsstate.Peer `toml:"listen"`
+	// HTTP is where callers, operators and the endpoint connect.
+	HTTP       string         `toml:"http"`
+	Controls   []hsstate.Peer `toml:"controls"`
+	DataFolder string         `toml:"dataFolder"`
+	LogLevel   string         `toml:"logLevel"`
+	// DrainDelay is how long a stopping process still takes requests after its health check fails.
+	DrainDelay Duration `toml:"drainDelay"`
+	// DrainTimeout bounds a graceful stop.
+	DrainTimeout Duration `toml:"drainTimeout"`
+	Control      Control  `toml:"control"`
+	Agent        Agent    `toml:"agent"`
+	TLS          TLS      `toml:"tls"`
+}
+
+// Control holds the settings of the control role. All replicas use the same.
+type Control struct {
+	Replicas            int      `toml:"replicas"`
+	CompletionWeight    *float64 `toml:"completionWeight"`
+	FragmentationWeight *float64 `toml:"fragmentationWeight"`
+	Heartbeat           Duration `toml:"heartbeat"`
+	Election            Duration `toml:"election"`
+	RulesLease          Duration `toml:"rulesLease"`
+	RunLease            Duration `toml:"runLease"`
+	Prepare             Duration `toml:"prepare"`
+	AgeUrgent           Duration `toml:"ageUrgent"`
+	AgeNormal           Duration `toml:"ageNormal"`
+	AgeBatch            Duration `toml:"ageBatch"`
+	CoolDown            Duration `toml:"coolDown"`
+	SnapshotEvery       int      `toml:"snapshotEvery"`
+}
+
+// Agent holds the settings of the agent role.
+type Agent struct {
+	Interval Duration `toml:"interval"`
+	Announce Duration `toml:"announce"`
+}
+
+// TLS names the files that protect links and HTTP; all empty for none. They are read again when they
+// change.
+type TLS struct {
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	Authority   string `toml:"authority"`
+}
+
+// Enabled reports whether connections are protected.
+func (t TLS) Enabled() bool { return t.Certificate != "" }
+
+// Defaults of the settings.
+const (
+	DefaultDrainDelay   = time.Second
+	DefaultDrainTimeout = 30 * time.Second
+	DefaultWeight       = 1.0
+)
+
+// Holds reports whether the process holds a role.
+func (s *Settings) Holds(r hsmessage.Role) bool {
+	for _, x := range s.Roles {
+		if x == r {
+			return true
+		}
+	}
+	return false
+}
+
+// Load reads and checks a file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("hssettings: %w", err)
+	}
+	s, err := Parse(data)
+	if err != nil {
+		return nil, fmt.Errorf("hssettings: %s:\n%w", path, err)
+	}
+	return s, nil
+}
+
+// Parse reads and checks the content of a file.
+func Parse(data []byte) (*Settings, error) {
+	s := &Settings{
+		DrainDelay:   Duration(DefaultDrainDelay),
+		DrainTimeout: Duration(DefaultDrainTimeout),
+	}
+	if err := decode(data, s); err != nil {
+		return nil, err
+	}
+	c := &checker{lines: strings.Split(string(data), "\n")}
+	c.check(s)
+	return s, errors.Join(c.faults...)
+}
+
+// decode reads the TOML and refuses unknown keys, all of them at once.
+func decode(data []byte, s *Settings) error {
+	d := toml.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	err := d.Decode(s)
+	var unknown *toml.StrictMissingError
+	var wrong *toml.DecodeError
+	switch {
+	case errors.As(err, &unknown):
+		var faults []error
+		for _, e := range unknown.Errors {
+			line, _ := e.Position()
+			faults = append(faults, fmt.Errorf("line %d: %s is no setting", line, strings.Join(e.Key(), ".")))
+		}
+		return errors.Join(faults...)
+	case errors.As(err, &wrong):
+		line, _ := wrong.Position()
+		return fmt.Errorf("line %d: %s: %w", line, strings.Join(wrong.Key(), "."), err)
+	}
+	return err
+}
--- /dev/null
+++ b/test/e2e/path_test.go
@@ -0,0 +1,125 @@
+package e2e
+
+import (
+	"os/exec"
+	"strings"
+	"testing"
+
+	"hyssopseam/internal/standin"
+)
+
+// TestPath runs one control replica, an entry and two agents: rules, jobs of each kind, whole answers, and
+// a graceful stop of each process.
+func TestPath(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, 101, 1)
+	b.control(1, true)
+	b.entry(1)
+	b.worker(1, standin.Config{})
+	b.worker(2, standin.Config{})
+	b.push(entry1, 1)
+	b.await("workers ready", func() bool { return b.ready(21) && b.ready(22) })
+
+	jobs := []struct {
+		name, body, key, want string
+		members               int
+	}{
+		{"order", job("order", "2x1worker", "normal", "sleep=50ms answer=cut"), "k1", "cut", 1},
+		{"check", job("counterCheck", "1x1worker", "urgent", "answer=size-8"), "k2", "size-8", 1},
+		{"gang", job("fittingBlock", "2x2workers", "normal", "sleep=50ms answer=block"), "k3", "block", 2},
+		{"repeated order", job("order", "2x1worker", "normal", "sleep=50ms answer=cut"), "k1", "cut", 1},
+	}
+	for _, tt := range jobs {
+		id := b.submit(entry1, tt.body, tt.key)
+		j := b.finished(entry1, id)
+		if got := string(j.Answer); j.Outcome != "answered" || got != tt.want {
+			t.Errorf("%s: got %s %q, want answered %q", tt.name, j.Outcome, got, tt.want)
+		}
+		if a := b.ask(entry1, "GET", "/v1/jobs/"+id+"/answer", "", ""); string(a.body) != tt.want {
+			t.Errorf("%s: got answer %q, want %q", tt.name, a.body, tt.want)
+		}
+		runs := b.runsOf(id)
+		if len(runs) != tt.members {
+			t.Errorf("%s: got %d members, want %d", tt.name, len(runs), tt.members)
+		}
+		for rank, n := range runs {
+			if n != 1 {
+				t.Errorf("%s: got %d runs of rank %d, want 1", tt.name, n, rank)
+			}
+		}
+	}
+	for _, name := range []string{"agent-1", "agent-2", "entry-1", "control-1"} {
+		b.stop(b.processes[name])
+	}
+}
+
+// TestAgentRestart kills the agent and the control process while a job that never runs twice is running,
+// and sees that it ran once and was answered whole.
+func TestAgentRestart(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, 103, 1)
+	control := b.control(1, true)
+	b.entry(1)
+	agent := b.worker(1, standin.Config{})
+	b.push(entry1, 1)
+	id := b.submit(entry1, job("order", "2x1worker", "normal", "sleep=3s answer=cut"), "k1")
+	b.await("order running", func() bool { return len(b.runs()) == 1 })
+	b.kill(agent)
+	b.kill(control)
+	b.start(agent)
+	b.start(control)
+	j := b.finished(entry1, id)
+	if got := string(j.Answer); j.Outcome != "answered" || got != "cut" {
+		t.Errorf("got %s %q, want answered \"cut\": %s", j.Outcome, got, j.Detail)
+	}
+	if got := b.runsOf(id)[0]; got != 1 {
+		t.Errorf("got %d runs, want 1", got)
+	}
+}
+
+// TestBadInput sends every kind of bad input and sees that nothing changes.
+func TestBadInput(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, 102, 1)
+	b.control(1, true)
+	b.entry(1)
+	b.push(entry1, 1)
+	tables := []struct {
+		name, method, path, body, key string
+		status                        int
+		outcome                       string
+	}{
+		{"no JSON", "POST", "/v1/jobs", "{", "", 400, "badRequest"},
+		{"unknown field", "POST", "/v1/jobs", `{"workspace":"a","kind":"b","shape":"1x1worker","colour":1}`, "", 400, "badRequest"},
+		{"wrong type", "POST", "/v1/jobs", `{"workspace":7}`, "", 400, "badRequest"},
+		{"bad UTF-8", "POST", "/v1/jobs", "{\"workspace\":\"\xff\"}", "", 400, "badRequest"},
+		{"two values", "POST", "/v1/jobs", `{} {}`, "", 400, "badRequest"},
+		{"bad shape", "POST", "/v1/jobs", `{"workspace":"a","kind":"b","shape":"0x1worker"}`, "", 400, "badRequest"},
+		{"too large", "POST", "/v1/jobs", strings.Repeat(" ", 200<<10), "", 413, "badRequest"},
+		{"once without key", "POST", "/v1/jobs", job("order", "1x1worker", "normal", ""), "", 400, "badRequest"},
+		{"faulty rules", "PUT", "/v1/rules?operator=x", "number 2\nonce job=a\n", "", 400, "badRequest"},
+		{"no operator", "PUT", "/v1/rules", "number 2\n", "", 400, "badRequest"},
+		{"missing job", "GET", "/v1/jobs/none", "", "", 404, "missing"},
+		{"missing job cancelled", "DELETE", "/v1/jobs/none", "", "", 404, "missing"},
+		{"no route", "GET", "/v1/nothing", "", "", 404, "missing"},
+		{"unknown member", "POST", "/v1/members", `{"action":"remove","id":5}`, "", 404, "missing"},
+	}
+	for _, tt := range tables {
+		a := b.ask(entry1, tt.method, tt.path, tt.body, tt.key)
+		if a.status != tt.status || a.outcome != tt.outcome {
+			t.Errorf("%s: got %d %q, want %d %q: %s", tt.name, a.status, a.outcome, tt.status, tt.outcome, a.body)
+		}
+	}
+	if a := b.ask(entry1, "GET", "/v1/jobs", "", ""); string(a.body) != "[]" {
+		t.Errorf("got jobs %s, want none", a.body)
+	}
+}
+
+// TestLinkage checks that the daemon is linked to the C library.
+func TestLinkage(t *testing.T) {
+	t.Parallel()
+	out, err := exec.Command("ldd", daemon).CombinedOutput()
+	if err != nil || !strings.Contains(string(out), "libc.so") {
+		t.Errorf("got %v %s, want libc.so", err, out)
+	}
+}
--- /dev/null
+++ b/test/layers/layers_test.go
@@ -0,0 +1,95 @@
+// Package layers checks the import graph against the agreed layers.
+package layers
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+const module = "hyssopseam"
+
+// importsOf returns what the package in a folder imports, without its tests.
+func importsOf(t *testing.T, folder string) []string {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(folder, "*.go"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var imports []string
+	for _, f := range files {
+		if strings.HasSuffix(f, "_test.go") {
+			continue
+		}
+		parsed, err := parser.ParseFile(token.NewFileSet(), f, nil, parser.ImportsOnly)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, s := range parsed.Imports {
+			path, err := strconv.Unquote(s.Path.Value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			imports = append(imports, path)
+		}
+	}
+	return imports
+}
+
+// packagesUnder returns the folders with Go files, relative to the module's root.
+func packagesUnder(t *testing.T, folder string) []string {
+	t.Helper()
+	root := filepath.Join("..", "..")
+	seen := map[string]bool{}
+	var all []string
+	err := filepath.WalkDir(filepath.Join(root, folder), func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") {
+			return err
+		}
+		relative, err := filepath.Rel(root, filepath.Dir(path))
+		if err == nil && !seen[relative] {
+			seen[relative] = true
+			all = append(all, relative)
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return all
+}
+
+// under reports whether an import is a package or lies below it.
+func under(path, root string) bool {
+	return path == root || strings.HasPrefix(path, root+"/")
+}
+
+func TestLayers(t *testing.T) {
+	tables := []struct {
+		folder string
+		banned []string
+	}{
+		{"core", []string{module + "/io", module + "/internal", module + "/cmd"}},
+		{"core", []string{"net", "os", "io", "io/fs", "bufio", "syscall", "log", "log/slog", "database", "encoding", "sync", "context", "math/rand", "math/rand/v2", "github.com"}},
+		{"core/query", []string{module + "/core/command"}},
+		{"io/query", []string{module + "/core/command/hscontrol", module + "/io/command"}},
+		{"core/hsstate", []string{module + "/core/command", module + "/core/query"}},
+		{"io", []string{module + "/internal", module + "/cmd", "os/exec"}},
+		{"cmd", []string{"os/exec"}},
+	}
+	for _, tt := range tables {
+		for _, pkg := range packagesUnder(t, tt.folder) {
+			for _, path := range importsOf(t, filepath.Join("..", "..", pkg)) {
+				for _, banned := range tt.banned {
+					if under(path, banned) {
+						t.Errorf("%s: got import %s, want none of %s", pkg, path, banned)
+					}
+				}
+			}
+		}
+	}
+}
