--- a/core/command/hsquorum/replica.go
+++ b/core/command/hsquorum/replica.go
@@ -141,7 +141,7 @@
 		return
 	}
 	r.resetElection()
-	if r.isVoter() {
+	if r.mayCampaign() {
 		r.preCampaign()
 	}
 }
@@ -290,6 +290,20 @@
 	return i >= 0 && r.members[i].Voter
 }
 
+// mayCampaign also lets a voter campaign that an uncommitted change removes: it may hold the only log that
+// the others' votes can commit.
+func (r *Replica) mayCampaign() bool {
+	if r.isVoter() {
+		return true
+	}
+	if !r.Changing() {
+		return false
+	}
+	_, before := r.membersAt(r.configIndex - 1)
+	i := hsstate.MemberIndex(before, r.config.ID)
+	return i >= 0 && before[i].Voter
+}
+
 func (r *Replica) quorum() int {
 	return len(hsstate.Voters(r.members))/2 + 1
 }
--- /dev/null
+++ b/io/hsdisk/disk_test.go
@@ -0,0 +1,183 @@
+package hsdisk
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"hyssopseam/core/command/hsquorum"
+	"hyssopseam/core/hsid"
+	"hyssopseam/core/hsstate"
+)
+
+// save writes one save and waits for it.
+func save(t *testing.T, d *Disk, done chan error, s hsquorum.Save) error {
+	t.Helper()
+	d.Save(s)
+	return <-done
+}
+
+func openTest(t *testing.T, f folder) (*Disk, Contents, chan error) {
+	t.Helper()
+	done := make(chan error, 1)
+	d, c, err := open(f, func(_ hsid.Sequence, err error) { done <- err })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d, c, done
+}
+
+func entries(from, to hsid.LogIndex, term hsid.Term) []hsstate.Entry {
+	var all []hsstate.Entry
+	for i := from; i <= to; i++ {
+		all = append(all, hsstate.Entry{Index: i, Term: term})
+	}
+	return all
+}
+
+func logFile(t *testing.T, path string) string {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(path, logPrefix+"*"))
+	if err != nil || len(files) != 1 {
+		t.Fatalf("got log files %v %v, want one", files, err)
+	}
+	return files[0]
+}
+
+// filled writes entries 1 to 6 in three saves and closes the folder.
+func filled(t *testing.T) folder {
+	t.Helper()
+	f := folder{path: t.TempDir(), sync: (*os.File).Sync}
+	d, _, done := openTest(t, f)
+	for i := range hsid.LogIndex(3) {
+		s := hsquorum.Save{Hard: hsquorum.HardState{Term: 2, Vote: 7}, Entries: entries(2*i+1, 2*i+2, 1)}
+		if err := save(t, d, done, s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := d.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// TestDamage changes the log file and opens it again.
+func TestDamage(t *testing.T) {
+	tables := []struct {
+		name    string
+		change  func(data []byte) []byte
+		entries int
+		damaged bool
+	}{
+		{"untouched", func(data []byte) []byte { return data }, 6, false},
+		{"torn tail", func(data []byte) []byte { return data[:len(data)-3] }, 4, false},
+		{"garbage behind", func(data []byte) []byte { return append(data, "HSRCgarbage"...) }, 6, false},
+		{"zeros behind", func(data []byte) []byte { return append(data, make([]byte, 100)...) }, 6, false},
+		{"flipped bit before the tail", func(data []byte) []byte { data[60] ^= 1; return data }, 0, true},
+		{"flipped bit in the first record", func(data []byte) []byte { data[22] ^= 1; return data }, 0, true},
+		{"other program's file", func(data []byte) []byte { data[0] = 'x'; return data }, 0, true},
+		{"record missing in the middle", func(data []byte) []byte { return append(data[:50:50], data[56:]...) }, 0, true},
+	}
+	for _, tt := range tables {
+		f := filled(t)
+		name := logFile(t, f.path)
+		data, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(name, tt.change(data), fileMode); err != nil {
+			t.Fatal(err)
+		}
+		d, c, err := open(f, func(hsid.Sequence, error) {})
+		if errors.Is(err, ErrDamaged) != tt.damaged {
+			t.Errorf("%s: got %v, want damage %v", tt.name, err, tt.damaged)
+		}
+		if tt.damaged && err != nil && !strings.Contains(err.Error(), "offset") {
+			t.Errorf("%s: got %v, want file and offset", tt.name, err)
+		}
+		if err != nil {
+			continue
+		}
+		if got := len(c.Stored.Entries); got != tt.entries || c.Stored.Hard.Vote != 7 {
+			t.Errorf("%s: got %d entries and vote %d, want %d and 7", tt.name, got, c.Stored.Hard.Vote, tt.entries)
+		}
+		if err := d.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// TestSnapshotFiles checks that a snapshot starts a new log, that older files go, and that overwritten
+// entries stay overwritten.
+func TestSnapshotFiles(t *testing.T) {
+	f := filled(t)
+	d, first, done := openTest(t, f)
+	overwrite := hsquorum.Save{Hard: hsquorum.HardState{Term: 3}, Entries: entries(5, 7, 3)}
+	if err := save(t, d, done, overwrite); err != nil {
+		t.Fatal(err)
+	}
+	s := hsquorum.Save{
+		Hard:     hsquorum.HardState{Term: 3},
+		Snapshot: &hsquorum.Snapshot{Index: 6, Term: 3, Cluster: "c", Data: []byte("state")},
+		Entries:  entries(5, 7, 3),
+	}
+	if err := save(t, d, done, s); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.Close(); err != nil {
+		t.Fatal(err)
+	}
+	logFile(t, f.path)
+	d, c, _ := openTest(t, f)
+	if c.Replica != first.Replica {
+		t.Errorf("got replica %d, want %d", c.Replica, first.Replica)
+	}
+	if string(c.Stored.Snapshot.Data) != "state" || len(c.Stored.Entries) != 3 || c.Stored.Entries[0].Term != 3 {
+		t.Errorf("got snapshot %q and %d entries, want state and 3", c.Stored.Snapshot.Data, len(c.Stored.Entries))
+	}
+	if err := d.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestFailedSync checks that nothing is written after a sync that failed.
+func TestFailedSync(t *testing.T) {
+	failing := false
+	f := folder{path: t.TempDir(), sync: func(x *os.File) error {
+		if failing {
+			return errors.New("input/output error")
+		}
+		return x.Sync()
+	}}
+	d, _, done := openTest(t, f)
+	failing = true
+	if err := save(t, d, done, hsquorum.Save{Entries: entries(1, 1, 1)}); err == nil {
+		t.Error("got no error from a failed sync")
+	}
+	failing = false
+	if err := save(t, d, done, hsquorum.Save{Entries: entries(2, 2, 1)}); err == nil {
+		t.Error("got a save after a failed sync, want none")
+	}
+	if err := d.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestForm checks that a folder is formed once, and that a missing identity is damage.
+func TestForm(t *testing.T) {
+	path := t.TempDir()
+	if _, err := Form(path, "a", "127.0.0.1:1"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Form(path, "a", "127.0.0.1:1"); !errors.Is(err, ErrFormed) {
+		t.Errorf("got %v, want %v", err, ErrFormed)
+	}
+	if err := os.Remove(filepath.Join(path, identityFile)); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := Open(path, func(hsid.Sequence, error) {}); !errors.Is(err, ErrDamaged) {
+		t.Errorf("got %v, want %v", err, ErrDamaged)
+	}
+}
