hscontrol: three starvations found by the whole-system fuzzer

Cause and change: - A job that fits only on homes of other workspaces, of a kind that may not borrow, waited for ever. It is now refused when submitted, and a queued one after twice its age bound, with that reason. - A quarantined worker was probed by small repeatable jobs only; when only a gang waited nothing ever probed it. Any job that may run again is now a probe if it fits nowhere else, and one that never runs twice once the probe is overdue by its pause. - A preparation that was dropped and made anew in one pass had the same grant, so the agent's refusal of the first stood for the second, for ever. Each preparation has an attempt number of its own now.

--- a/core/command/hsadmission/attempt.go
+++ b/core/command/hsadmission/attempt.go
@@ -8,11 +8,11 @@
 )
 
 // Start commits the start of an attempt. It reports false and changes nothing when the job isn't
-// queued any more, when the attempt isn't the next one, or when a job that never runs twice was
+// queued any more, when the attempt isn't a later one, or when a job that never runs twice was
 // started before.
 func Start(s *hsstate.State, c *hsstate.StartGang) bool {
 	j := s.Jobs[c.Grant.Job]
-	if j == nil || j.Phase != hsstate.Queued || c.Grant.Attempt != j.Attempt+1 {
+	if j == nil || j.Phase != hsstate.Queued || c.Grant.Attempt <= j.Attempt {
 		return false
 	}
 	if j.Once && j.Attempt > 0 {
--- a/core/command/hsbreaker/breaker.go
+++ b/core/command/hsbreaker/breaker.go
@@ -100,17 +100,11 @@
 	return k != nil && k.phase == Open && !now.Before(k.until)
 }
 
-// NextProbe returns the earliest time from which some worker may be probed, and false when none waits.
-func (b *Book) NextProbe() (time.Time, bool) {
-	var next time.Time
-	found := false
-	for _, k := range b.breakers {
-		if k.phase == Open && (!found || k.until.Before(next)) {
-			next = k.until
-			found = true
-		}
-	}
-	return next, found
+// ProbeOverdue reports whether a worker waits for its probe for as long as its pause was. Then any job may
+// be the probe, so that no job waits for a worker that nothing else would try.
+func (b *Book) ProbeOverdue(w hsid.InstanceID, now time.Time) bool {
+	k := b.breakers[w]
+	return b.ProbeDue(w, now) && !now.Before(k.until.Add(k.pause))
 }
 
 // Begin returns the ticket of a job that is given to a worker. On a worker whose probe is due the job
--- a/core/command/hscontrol/applied.go
+++ b/core/command/hscontrol/applied.go
@@ -159,6 +159,7 @@
 func (c *Control) finished(j *hsstate.Job) {
 	delete(c.lead.claims, j.ID)
 	delete(c.lead.notes, j.ID)
+	delete(c.lead.tries, j.ID)
 	c.lead.passDue = true
 	c.ports.Observer.Ended(j)
 	waiters := c.lead.jobWaiters[j.ID]
--- a/core/command/hscontrol/attempt.go
+++ b/core/command/hscontrol/attempt.go
@@ -32,9 +32,10 @@
 func (c *Control) prepare(j *hsstate.Job, members []hsstate.Placement) {
 	now := c.ports.Clock.Now()
 	l := c.lead
+	l.tries[j.ID] = max(l.tries[j.ID], j.Attempt) + 1
 	a := &attempt{
 		job:     j,
-		grant:   hsid.Grant{Job: j.ID, Attempt: j.Attempt + 1, Term: l.term},
+		grant:   hsid.Grant{Job: j.ID, Attempt: l.tries[j.ID], Term: l.term},
 		members: members,
 		until:   now.Add(c.config.Prepare),
 	}
--- a/core/command/hscontrol/claim.go
+++ b/core/command/hscontrol/claim.go
@@ -340,14 +340,7 @@
 
 // closedFor returns what a job can't reserve: claims of others and homes that it may not borrow.
 func (p *pass) closedFor(j *hsstate.Job) []hsfleet.Mask {
-	closed := p.claimed(j.ID, false)
-	for i := range p.homes {
-		h := &p.homes[i]
-		if h.guarantee.Workspace != j.Spec.Workspace && !p.c.mayBorrow(j, h.guarantee) {
-			closed = union(closed, h.masks)
-		}
-	}
-	return closed
+	return union(p.claimed(j.ID, false), p.homesClosedTo(j))
 }
 
 func (p *pass) reservations() int {
--- a/core/command/hscontrol/leadership.go
+++ b/core/command/hscontrol/leadership.go
@@ -27,8 +27,10 @@
 	// memberWorkers lists the workers of each running job.
 	memberWorkers map[hsid.JobID][]hsid.InstanceID
 	attempts      map[hsid.JobID]*attempt
-	claims        map[hsid.JobID]*hsfleet.Claim
-	notes         map[hsid.JobID]hsfleet.Note
+	// tries holds the number of the newest attempt of each queued job that was prepared in this term.
+	tries  map[hsid.JobID]hsid.Attempt
+	claims map[hsid.JobID]*hsfleet.Claim
+	notes  map[hsid.JobID]hsfleet.Note
 	// stops holds the jobs that give way, stopping all whose members are being stopped.
 	stops    map[hsid.JobID]hsfleet.Stop
 	stopping map[hsid.JobID]bool
@@ -77,6 +79,7 @@
 		byWorker:      map[hsid.InstanceID][]hsid.JobID{},
 		memberWorkers: map[hsid.JobID][]hsid.InstanceID{},
 		attempts:      map[hsid.JobID]*attempt{},
+		tries:         map[hsid.JobID]hsid.Attempt{},
 		claims:        map[hsid.JobID]*hsfleet.Claim{},
 		notes:         map[hsid.JobID]hsfleet.Note{},
 		stops:         map[hsid.JobID]hsfleet.Stop{},
--- a/core/command/hscontrol/request.go
+++ b/core/command/hscontrol/request.go
@@ -85,15 +85,23 @@
 		return "", 0
 	}
 	l := c.layout()
-	if !l.CanEver(s.Spec.Shape, &s.Spec) {
+	job := &hsstate.Job{ID: s.ID, Spec: s.Spec, Index: c.replica.Last() + 1, Accepted: c.replica.Clock()}
+	job.Once = c.state.Rules.InForce.IsOnce(s.Spec.Kind)
+	if !l.CanEver(&s.Spec, nil) {
 		c.ports.Observer.Refused("neverFits")
 		return fmt.Sprintf("no announced worker or rack can ever hold %s with %d millicores and %d bytes of memory a worker",
 			s.Spec.Shape, s.Spec.Cores, s.Spec.Memory), 0
 	}
+	p := &pass{c: c, rules: &c.state.Rules.InForce, layout: l}
+	p.markHomes()
+	if !l.CanEver(&s.Spec, p.homesClosedTo(job)) {
+		c.ports.Observer.Refused("neverOutsideHomes")
+		return neverOutsideHomes, 0
+	}
 	if s.Spec.StartWithin == 0 || !c.state.Rules.InForce.MayRefuse(s.Spec.Kind) {
 		return "", 0
 	}
-	wait := c.predictSpec(l, &hsstate.Job{ID: s.ID, Spec: s.Spec, Index: c.replica.Last() + 1, Accepted: c.replica.Clock()})
+	wait := c.predictSpec(l, job)
 	if wait <= s.Spec.StartWithin {
 		return "", 0
 	}
--- a/core/command/hscontrol/schedule.go
+++ b/core/command/hscontrol/schedule.go
@@ -119,6 +119,7 @@
 			continue
 		}
 		s.Probe = true
+		s.Overdue = p.c.lead.breakers.ProbeOverdue(s.ID, p.now)
 		s.Usable = true
 		s.Free = s.Worker.All() &^ s.Held
 	}
@@ -151,7 +152,7 @@
 		return
 	}
 	if p.overdue(j) {
-		p.c.refuse(j, "it couldn't be started within the asked time")
+		p.c.giveUp(j, "it couldn't be started within the asked time")
 		return
 	}
 	if quota, bounded := p.rules.Quota(j.Spec.Workspace); bounded && p.used[j.Spec.Workspace]+j.Spec.Shape.Total() > quota {
@@ -169,6 +170,10 @@
 		p.take(j, members)
 		return
 	}
+	if p.hopeless(j) {
+		p.c.giveUp(j, neverOutsideHomes)
+		return
+	}
 	note := p.explain(j)
 	p.failed[same] = note
 	l.notes[j.ID] = note
@@ -177,6 +182,30 @@
 	}
 }
 
+// neverOutsideHomes is why a job is refused that would have to run on homes of other workspaces.
+const neverOutsideHomes = "it fits only on homes of other workspaces' guarantees, and its kind wasn't seen to stop in their time"
+
+// hopeless reports whether a job waited for twice its age bound, could run if there were no guarantees,
+// and can't with them however long it waits.
+func (p *pass) hopeless(j *hsstate.Job) bool {
+	if !p.c.learned() || p.clock-j.Accepted < 2*p.c.config.AgeBounds[j.Spec.Class] {
+		return false
+	}
+	return p.layout.CanEver(&j.Spec, nil) && !p.layout.CanEver(&j.Spec, p.homesClosedTo(j))
+}
+
+// homesClosedTo returns the homes of other workspaces that a job may not borrow.
+func (p *pass) homesClosedTo(j *hsstate.Job) []hsfleet.Mask {
+	closed := make([]hsfleet.Mask, len(p.layout.Slots))
+	for i := range p.homes {
+		h := &p.homes[i]
+		if h.guarantee.Workspace != j.Spec.Workspace && !p.c.mayBorrow(j, h.guarantee) {
+			closed = union(closed, h.masks)
+		}
+	}
+	return closed
+}
+
 // overdue reports whether a job that may be refused waited longer than its caller asked for.
 func (p *pass) overdue(j *hsstate.Job) bool {
 	return j.MayRefuse && j.Attempt == 0 && j.Spec.StartWithin > 0 && p.clock-j.Accepted > j.Spec.StartWithin
@@ -224,7 +253,7 @@
 		Spec:     &j.Spec,
 		Closed:   make([]hsfleet.Mask, len(p.layout.Slots)),
 		FailedOn: j.FailedOn,
-		MayProbe: !j.Once && j.Spec.Class > hsstate.Urgent && j.Spec.Shape.Workers == 1,
+		Probe:    probeOf(j),
 	}
 	for i := range p.homes {
 		h := &p.homes[i]
@@ -251,6 +280,18 @@
 	return q
 }
 
+// probeOf tells how willingly a job is made a probe: small jobs that may run again and wait for nobody at
+// a counter first, and jobs that never run twice only as the last resort.
+func probeOf(j *hsstate.Job) hsplacement.Probe {
+	switch {
+	case j.Once:
+		return hsplacement.ProbeOverdue
+	case j.Spec.Class == hsstate.Urgent || j.Spec.Shape.Workers > 1:
+		return hsplacement.ProbeLast
+	}
+	return hsplacement.ProbeFirst
+}
+
 func union(into, masks []hsfleet.Mask) []hsfleet.Mask {
 	if into == nil {
 		into = make([]hsfleet.Mask, len(masks))
@@ -265,7 +306,7 @@
 func (p *pass) explain(j *hsstate.Job) hsfleet.Note {
 	free := p.layout.Free()
 	switch {
-	case !p.layout.CanEver(j.Spec.Shape, &j.Spec):
+	case !p.layout.CanEver(&j.Spec, nil):
 		return hsfleet.Note{Obstacle: "no announced worker or rack can hold its shape, cores and memory; it waits for one"}
 	case free < j.Spec.Shape.Total():
 		return hsfleet.Note{Obstacle: fmt.Sprintf("%d accelerators are free, it needs %d", free, j.Spec.Shape.Total())}
--- a/core/command/hscontrol/wake.go
+++ b/core/command/hscontrol/wake.go
@@ -102,14 +102,17 @@
 	}
 }
 
-// refuse ends a queued job that never started.
-func (c *Control) refuse(j *hsstate.Job, reason string) {
+// giveUp ends a queued job: as not run if no part of it ran, and as failed otherwise.
+func (c *Control) giveUp(j *hsstate.Job, reason string) {
 	if c.lead.ending[j.ID] {
 		return
 	}
 	end := &hsstate.FinishJob{Job: j.ID, Attempt: j.Attempt, Outcome: hsstate.NotRun, Detail: reason}
+	if j.Ran {
+		end.Outcome = hsstate.Failed
+	}
 	if _, ok := c.propose(hsstate.Command{Finish: end}); ok {
 		c.lead.ending[j.ID] = true
-		c.ports.Observer.Refused("startWithin")
+		c.ports.Observer.Refused("gaveUp")
 	}
 }
--- a/core/command/hsplacement/place.go
+++ b/core/command/hsplacement/place.go
@@ -40,8 +40,10 @@
 	costBorrow = 2.0
 	// costOwnHome counts accelerators of the job's own home that a smaller job takes.
 	costOwnHome = 1.5
-	// gainProbe draws a job that may run again to a worker that is to be probed.
+	// gainProbe draws a small job to a worker that is to be probed, costProbe keeps other jobs off it
+	// while they fit elsewhere.
 	gainProbe = 4.0
+	costProbe = 16.0
 )
 
 // Request is one job to be placed. The masks are indexed like Layout.Slots; nil stands for none.
@@ -57,10 +59,23 @@
 	PreferOwn bool
 	// FailedOn lists workers on which the job failed.
 	FailedOn []hsid.InstanceID
-	// MayProbe is set for jobs that may run again and wait for nobody at a counter.
-	MayProbe bool
+	// Probe tells whether the job may be the probe of a quarantined worker.
+	Probe Probe
 }
 
+// Probe is how willingly a job is made a probe.
+type Probe int
+
+// The ways of a job with probes.
+const (
+	// ProbeOverdue: only where a probe is overdue, and if it fits nowhere else.
+	ProbeOverdue Probe = iota
+	// ProbeLast: if it fits nowhere else.
+	ProbeLast
+	// ProbeFirst: rather than elsewhere.
+	ProbeFirst
+)
+
 // candidate is a part of the job on one worker.
 type candidate struct {
 	slot *hsfleet.Slot
@@ -114,7 +129,7 @@
 func rackCandidates(slots []*hsfleet.Slot, w Weights, q *Request) []candidate {
 	var parts []candidate
 	for _, s := range slots {
-		if !s.RoomFor(q.Spec) || s.Probe && !q.MayProbe {
+		if !s.RoomFor(q.Spec) || s.Probe && q.Probe == ProbeOverdue && !s.Overdue {
 			continue
 		}
 		if c, ok := bestGroup(s, w, q); ok {
@@ -209,8 +224,11 @@
 		own = own - 1
 	}
 	total += costOwnHome * own
-	if s.Probe {
+	switch {
+	case s.Probe && q.Probe == ProbeFirst:
 		total -= gainProbe
+	case s.Probe:
+		total += costProbe
 	}
 	return total
 }
--- a/core/command/hsquorum/scenario_test.go
+++ b/core/command/hsquorum/scenario_test.go
@@ -88,18 +88,25 @@
 		{"a restarted replica votes for nobody within an election timeout", 3, 0, func(t *testing.T, c *cluster) {
 			l := lead(t, c)
 			x := follower(c, l)
-			x.crash(true)
-			x.start()
-			c.cut[[2]hsid.ReplicaID{l.id, x.id}] = true
 			for _, n := range c.nodes {
 				if n != l && n != x {
-					c.isolate(n.id)
-					n.replica.HandOver()
+					c.cut[[2]hsid.ReplicaID{l.id, n.id}] = true
+					c.cut[[2]hsid.ReplicaID{n.id, l.id}] = true
 				}
 			}
-			c.run(19, round)
-			if x.replica.Role() == hsquorum.Leader {
-				t.Errorf("got a leader beside %d", l.id)
+			for range 60 {
+				delete(c.cut, [2]hsid.ReplicaID{l.id, x.id})
+				delete(c.cut, [2]hsid.ReplicaID{x.id, l.id})
+				for range 100 {
+					if c.run(1, round); l.replica.Leading() {
+						break
+					}
+				}
+				c.cut[[2]hsid.ReplicaID{l.id, x.id}] = true
+				c.cut[[2]hsid.ReplicaID{x.id, l.id}] = true
+				x.crash(true)
+				x.start()
+				c.run(18, round)
 			}
 		}},
 		{"a removed leader commits its removal although only it has the entry", 2, 0, func(t *testing.T, c *cluster) {
--- a/core/hsfleet/layout.go
+++ b/core/hsfleet/layout.go
@@ -3,7 +3,6 @@
 import (
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
-	"hyssopseam/core/hsshape"
 	"hyssopseam/core/hsstate"
 )
 
@@ -25,6 +24,8 @@
 	Usable bool
 	// Probe is set when a quarantined worker may be given one job to show that it has recovered.
 	Probe bool
+	// Overdue is set when its probe is overdue, so that any job may be the probe.
+	Overdue bool
 }
 
 // Whole reports whether nothing holds any accelerator of the worker.
@@ -154,23 +155,29 @@
 	}
 }
 
-// CanEver reports whether the announced workers could hold a shape if nothing else ran.
-func (l *Layout) CanEver(shape hsshape.Shape, spec *hsstate.Spec) bool {
+// CanEver reports whether the known workers could hold a job if nothing else ran, outside the closed
+// accelerators, which are indexed like Slots (nil for none). Workers that are silent for a while count,
+// so that a restart makes no job impossible.
+func (l *Layout) CanEver(spec *hsstate.Spec, closed []Mask) bool {
 	for i := range l.Racks {
 		fits := hsid.WorkerCount(0)
 		for _, s := range l.Racks[i].Slots {
-			if s.Worker.couldHold(shape.PerWorker, spec) {
+			var shut Mask
+			if closed != nil {
+				shut = closed[s.Index]
+			}
+			if s.Worker.couldHold(spec, shut) {
 				fits++
 			}
 		}
-		if fits >= shape.Workers {
+		if fits >= spec.Shape.Workers {
 			return true
 		}
 	}
 	return false
 }
 
-func (w *Worker) couldHold(n hsid.Accelerators, spec *hsstate.Spec) bool {
+func (w *Worker) couldHold(spec *hsstate.Spec, closed Mask) bool {
 	info := &w.Report.Worker
 	if info.Endpoint == 0 || info.Leaving {
 		return false
@@ -178,5 +185,10 @@
 	if info.Cores < spec.Cores || info.Memory < spec.Memory {
 		return false
 	}
-	return hsshape.Largest(info.Groups) >= n
+	for _, g := range w.groups {
+		if (g &^ closed).Count() >= spec.Shape.PerWorker {
+			return true
+		}
+	}
+	return false
 }
--- a/core/hsid/id.go
+++ b/core/hsid/id.go
@@ -47,7 +47,8 @@
 // RuleNumber is the operator's number of a rule file. Zero means that none is in force.
 type RuleNumber uint64
 
-// Attempt counts the placements of one job; the first has number 1.
+// Attempt numbers the placements of one job from 1. One that was prepared and not started has a number too,
+// so that no two preparations share a grant.
 type Attempt uint32
 
 // Sequence orders the messages of one sender to one receiver.
--- a/core/hsshape/fit.go
+++ b/core/hsshape/fit.go
@@ -28,39 +28,6 @@
 	return slices.ContainsFunc(s, o.Contains)
 }
 
-// Pick chooses n free adjacent accelerators. It takes them from the group that has the fewest free
-// ones left afterwards, so that large groups stay whole. It returns nil when no group has n free.
-func Pick(groups []Group, free func(hsid.AcceleratorIndex) bool, n hsid.Accelerators) Set {
-	var best Set
-	for _, g := range groups {
-		var open Set
-		for _, x := range g {
-			if free(x) {
-				open = append(open, x)
-			}
-		}
-		if open.Count() < n {
-			continue
-		}
-		if best == nil || len(open) < len(best) {
-			best = open
-		}
-	}
-	if best == nil {
-		return nil
-	}
-	return best[:n:n]
-}
-
-// Largest returns the size of the largest group.
-func Largest(groups []Group) hsid.Accelerators {
-	var most hsid.Accelerators
-	for _, g := range groups {
-		most = max(most, g.Count())
-	}
-	return most
-}
-
 // WholeWorker returns the group of a worker whose n accelerators are all adjacent.
 func WholeWorker(n hsid.Accelerators) []Group {
 	g := make(Group, n)
