--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -40,16 +40,18 @@
 
 	mutex   sync.Mutex
 	changed chan struct{}
-	cut     Direction
-	delay   time.Duration
-	closed  bool
-	pairs   map[*pair]struct{}
+	// cut holds the directions that are held back, by the IP number of the client; empty for all.
+	cut    map[string]Direction
+	delay  time.Duration
+	closed bool
+	pairs  map[*pair]struct{}
 }
 
 // pair is a connection and the one behind it.
 type pair struct {
 	client net.Conn
 	server net.Conn
+	source string
 	silent bool
 }
 
@@ -59,13 +61,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("faultproxy: %w", err)
 	}
-	p := &Proxy{listener: l, target: target, changed: make(chan struct{}), pairs: map[*pair]struct{}{}}
+	p := &Proxy{listener: l, target: target, changed: make(chan struct{}), cut: map[string]Direction{}, pairs: map[*pair]struct{}{}}
 	p.work.Go(p.accept)
 	return p, nil
 }
 
 // Cut holds back everything in a direction, on open and new connections, until Heal.
-func (p *Proxy) Cut(d Direction) { p.change(func() { p.cut = d }) }
+func (p *Proxy) Cut(d Direction) { p.CutFrom("", d) }
+
+// CutFrom holds back the connections of one client, named by its IP number.
+func (p *Proxy) CutFrom(client string, d Direction) { p.change(func() { p.cut[client] = d }) }
 
 // Delay holds back every piece of data for a time.
 func (p *Proxy) Delay(d time.Duration) { p.change(func() { p.delay = d }) }
@@ -73,7 +78,7 @@
 // Heal ends cuts and delays. Connections made silent stay silent.
 func (p *Proxy) Heal() {
 	p.change(func() {
-		p.cut = 0
+		clear(p.cut)
 		p.delay = 0
 	})
 }
@@ -132,7 +137,8 @@
 			_ = client.Close()
 			continue
 		}
-		x := &pair{client: client, server: server}
+		source, _, _ := net.SplitHostPort(client.RemoteAddr().String())
+		x := &pair{client: client, server: server, source: source}
 		p.mutex.Lock()
 		if p.closed {
 			x.close()
@@ -171,7 +177,7 @@
 	for {
 		p.mutex.Lock()
 		changed := p.changed
-		held := p.cut&d != 0 || x.silent
+		held := (p.cut[""]|p.cut[x.source])&d != 0 || x.silent
 		delay := p.delay
 		_, open := p.pairs[x]
 		closed := p.closed
--- a/io/hsapp/role.go
+++ b/io/hsapp/role.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"log/slog"
+	"net/netip"
 	"time"
 
 	"hyssopseam/core/command/hsagent"
@@ -45,6 +46,9 @@
 
 func newLinks(s *hssettings.Settings, log *slog.Logger, p *hsprocess.Process) (*hslink.Links, error) {
 	c := hslink.Config{Instance: s.Instance, Roles: s.Roles, Address: cmp.Or(s.Listen, s.Link)}
+	if own, err := netip.ParseAddrPort(s.HTTP); err == nil {
+		c.Source = own.Addr().AsSlice()
+	}
 	if s.TLS.Enabled() {
 		var err error
 		if c.ServerTLS, c.ClientTLS, err = linkTLS(s.TLS); err != nil {
--- a/io/hslink/links.go
+++ b/io/hslink/links.go
@@ -55,7 +55,9 @@
 	Instance hsid.InstanceID
 	Roles    []hsmessage.Role
 	// Address is the IP:port that is listened on; empty for a process that only dials.
-	Address   hsstate.Peer
+	Address hsstate.Peer
+	// Source is the IP number that connections are made from; nil leaves it to the system.
+	Source    net.IP
 	Heartbeat time.Duration
 	Backlog   int
 	// ServerTLS and ClientTLS protect the connections; nil for none.
@@ -277,6 +279,9 @@
 
 func (l *Links) dialOnce(to hsstate.Peer, d *dialled) error {
 	dialer := net.Dialer{Timeout: silentHeartbeats * l.config.Heartbeat}
+	if l.config.Source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: l.config.Source}
+	}
 	n, err := dialer.DialContext(l.context, "tcp", string(to))
 	if err != nil {
 		return fmt.Errorf("hslink: %w", err)
--- a/test/e2e/bed_test.go
+++ b/test/e2e/bed_test.go
@@ -237,6 +237,70 @@
 	p.cmd = nil
 }
 
+// isolate cuts control replica i off silently, in both directions.
+func (b *bed) isolate(i int) {
+	for name, p := range b.proxies {
+		if name == fmt.Sprintf("control-%d", i) {
+			p.Cut(faultproxy.Both)
+			continue
+		}
+		p.CutFrom(fmt.Sprintf("%s.%d", b.network, i), faultproxy.Both)
+	}
+}
+
+func (b *bed) heal() {
+	for _, p := range b.proxies {
+		p.Heal()
+	}
+}
+
+// cluster starts three control replicas and waits until all vote.
+func (b *bed) cluster(entries int) {
+	b.t.Helper()
+	for i := 1; i <= b.controls; i++ {
+		b.control(i, i == 1)
+	}
+	for i := 1; i <= entries; i++ {
+		b.entry(i)
+	}
+	b.await("all replicas vote", func() bool { return b.voters(entry1) == b.controls })
+}
+
+// members returns the membership as an entry sees it.
+func (b *bed) members(host int) hsview.Members {
+	v, _ := view[hsview.Members](b, host, "/v1/members")
+	return v
+}
+
+func (b *bed) voters(host int) int {
+	v := b.members(host)
+	if v.Repairing || len(v.Newcomers) > 0 {
+		return 0
+	}
+	return len(v.Members)
+}
+
+// leader returns the number of the replica that leads.
+func (b *bed) leader(host int) int {
+	b.t.Helper()
+	leader := 0
+	b.await("a leader", func() bool {
+		for _, m := range b.members(host).Members {
+			if m.Part == "leader" {
+				_, _ = fmt.Sscanf(string(m.Instance), "control-%d", &leader)
+			}
+		}
+		return leader > 0
+	})
+	return leader
+}
+
+// rulesOf returns the number in force as an entry sees it.
+func (b *bed) rulesOf(host int) hsid.RuleNumber {
+	v, _ := view[hsview.Rules](b, host, "/v1/rules")
+	return v.File.Number
+}
+
 // await waits until done returns true.
 func (b *bed) await(what string, done func() bool) {
 	b.t.Helper()
