hsagent: restarts and run leases tell the truth about what ran

Cause and change: - After its restart an agent answered a run order before it knew what the platform runs: it reported the grant as not held, control took that as proof, and an order that ran was reported notRun. Orders for grants that it doesn't know now wait until the platform's tasks are listed. (test/e2e TestLoad, agent killed and rolling restart.) - A later life of an agent says 'refused' about a grant although agent and endpoint were both replaced; that proves nothing, so the job is unknown, not notRun. A job that is unknown is now resolved only by a task that ran. (test/whole, found with slow platforms.) - A late report of an earlier life of an agent replaced the newer one; earlier lives are now remembered. - The agent looked at its run lease only every report interval, so it began to stop up to 500 ms after control could run the job elsewhere; and an endpoint whose agent died didn't stop at all. The agent now wakes at the end of the lease, and the endpoint has a lease of its own that the agent renews, ending 10 % earlier.

--- a/core/command/hsagent/agent.go
+++ b/core/command/hsagent/agent.go
@@ -41,6 +41,8 @@
 	reportAt time.Time
 	changed  bool
 	runFor   time.Duration
+	// renewedAt is when the platform's lease was renewed last.
+	renewedAt time.Time
 }
 
 // New returns an agent that knows neither its endpoint nor the leader.
--- a/core/command/hsagent/config.go
+++ b/core/command/hsagent/config.go
@@ -19,6 +19,14 @@
 // redirectPause is the time between a redirection and the report to the replica that it names.
 const redirectPause = 20 * time.Millisecond
 
+const (
+	// renewals is the number of times in a run lease that the platform's lease is renewed.
+	renewals = 8
+	// marginShare is the part of a run lease, in percent, that is kept back from the platform for the time
+	// that a call to it may take.
+	marginShare = 10
+)
+
 // Config sets the times of an agent.
 type Config struct {
 	Instance    hsid.InstanceID
@@ -64,7 +72,9 @@
 	Size         int
 	Accelerators hsshape.Set
 	Once         bool
-	Spec         hsstate.Spec
+	// Lease is how long the platform runs tasks without a Renew; one that never runs twice goes on.
+	Lease time.Duration
+	Spec  hsstate.Spec
 }
 
 // Result is how a task ended on the platform.
@@ -94,6 +104,8 @@
 	Run(endpoint, agent hsid.Incarnation, s Start)
 	// Watch waits for the end of a task that runs already.
 	Watch(endpoint hsid.Incarnation, g hsid.Grant)
+	// Renew lets the tasks run for this long from now without hearing from the agent again.
+	Renew(endpoint hsid.Incarnation, lease time.Duration)
 	// Stop has a task checkpointed and stopped.
 	Stop(endpoint hsid.Incarnation, g hsid.Grant)
 	// Forget lets the endpoint drop what it keeps of an ended task.
--- a/core/command/hsagent/orders.go
+++ b/core/command/hsagent/orders.go
@@ -58,6 +58,7 @@
 	for i := range m.Orders {
 		a.follow(&m.Orders[i])
 	}
+	a.renewPlatform()
 }
 
 // grants returns the grants that the agent knows, in a fixed order.
@@ -142,6 +143,8 @@
 // run starts a task that is held. One that isn't held can't be started: the grant may be an old one.
 func (a *Agent) run(o *hsmessage.Order, t *task) {
 	switch {
+	case t == nil && !a.listed:
+		// An earlier life of this agent may have started it.
 	case t == nil:
 		t = &task{once: o.Once}
 		t.report = hsmessage.Task{Grant: o.Grant, Accelerators: o.Accelerators, Phase: hsmessage.TaskRefused}
@@ -158,6 +161,7 @@
 			Size:         o.Size,
 			Accelerators: o.Accelerators,
 			Once:         o.Once,
+			Lease:        a.platformLease(),
 			Spec:         *o.Spec,
 		})
 	}
@@ -166,6 +170,8 @@
 // stopOrder stops a task, and turns one that was only held into one that never ran.
 func (a *Agent) stopOrder(o *hsmessage.Order, t *task) {
 	switch {
+	case t == nil && !a.listed:
+		// An earlier life of this agent may have started it.
 	case t == nil:
 		t = &task{once: o.Once}
 		t.report = hsmessage.Task{Grant: o.Grant, Accelerators: o.Accelerators, Phase: hsmessage.TaskRefused}
--- a/core/command/hsagent/report.go
+++ b/core/command/hsagent/report.go
@@ -23,8 +23,47 @@
 	a.flush()
 }
 
-// NextWake returns when Wake is wanted next.
-func (a *Agent) NextWake() time.Time { return a.reportAt }
+// NextWake returns when Wake is wanted next: for the next report, or for the end of a lease that something
+// depends on.
+func (a *Agent) NextWake() time.Time {
+	next := a.reportAt
+	contact := a.holder.Contact()
+	for _, t := range a.tasks {
+		end := next
+		switch {
+		case t.report.Phase == hsmessage.TaskHeld:
+			end = contact.Add(a.config.Hold)
+		case t.report.Phase == hsmessage.TaskRunning && !t.once && !t.stopping && a.runFor > 0:
+			end = contact.Add(a.runFor)
+		}
+		if end.Before(next) {
+			next = end
+		}
+	}
+	return next
+}
+
+// platformLease returns how long the platform may run tasks if this agent ends now: what is left of the run
+// lease, less a margin for the time that the call takes.
+func (a *Agent) platformLease() time.Duration {
+	left := a.holder.Contact().Add(a.runFor).Sub(a.clock.Now())
+	return max(left-a.runFor*marginShare/100, time.Millisecond)
+}
+
+// renewPlatform renews the platform's lease now and then while there is contact.
+func (a *Agent) renewPlatform() {
+	now := a.clock.Now()
+	if a.runFor == 0 || a.worker.Endpoint == 0 || now.Sub(a.renewedAt) < a.runFor/renewals {
+		return
+	}
+	for _, t := range a.tasks {
+		if t.report.Phase == hsmessage.TaskRunning && !t.once {
+			a.renewedAt = now
+			a.platform.Renew(a.worker.Endpoint, a.platformLease())
+			return
+		}
+	}
+}
 
 // Rules returns the number that the agent acts on, and whether its lease lasts.
 func (a *Agent) Rules() (hsid.RuleNumber, bool) {
--- a/core/command/hscontrol/agent.go
+++ b/core/command/hscontrol/agent.go
@@ -78,19 +78,15 @@
 func (c *Control) resolveUnknown(w *hsfleet.Worker) {
 	for _, t := range w.Report.Tasks {
 		j := c.unknownJob(t.Grant)
-		if j == nil || len(j.Members) != 1 || !t.Phase.Ended() || t.Phase == hsmessage.TaskLost {
+		if j == nil || len(j.Members) != 1 || !t.Ran || !t.Phase.Ended() || t.Phase == hsmessage.TaskLost {
 			continue
 		}
 		end := &hsstate.FinishJob{Job: j.ID, Attempt: j.Attempt, Ran: t.Ran, Detail: t.Reason}
-		switch {
-		case t.Phase == hsmessage.TaskDone:
+		end.Outcome = hsstate.Failed
+		if t.Phase == hsmessage.TaskDone {
 			end.Outcome = hsstate.Answered
 			end.Answer = t.Answer
 			end.Sum = t.Sum
-		case t.Ran:
-			end.Outcome = hsstate.Failed
-		default:
-			end.Outcome = hsstate.NotRun
 		}
 		c.propose(hsstate.Command{Finish: end})
 	}
--- a/core/command/hsgang/evidence.go
+++ b/core/command/hsgang/evidence.go
@@ -52,12 +52,15 @@
 	if w == nil {
 		return m
 	}
-	if t := w.Task(g); t != nil {
+	t := w.Task(g)
+	restarted := w.Report.Incarnation != p.Incarnation
+	switch {
+	case t != nil && (t.Ran || !t.Phase.Ended() || !restarted):
 		return observeTask(m, t)
-	}
-	if !w.Report.Listed {
+	case !w.Report.Listed:
 		return m
 	}
+	// A later life of the agent speaks for itself only when it says that it didn't run the task.
 	return observeAbsence(m, g, p, w)
 }
 
--- a/core/hsfleet/fleet.go
+++ b/core/hsfleet/fleet.go
@@ -24,6 +24,8 @@
 	Quarantined bool
 	// Gone is set once the agent is silent past its run lease.
 	Gone bool
+	// retired lists earlier lives of the agent, the newest last; their late reports are ignored.
+	retired []hsid.Incarnation
 
 	groups []Mask
 	all    Mask
@@ -80,8 +82,11 @@
 	}
 }
 
+// maxRetired bounds the earlier lives of an agent that are remembered.
+const maxRetired = 16
+
 // Update takes over a report. It returns the worker, and false when the report is older than the one
-// that is known.
+// that is known, or of an earlier life of the agent.
 func (f *Fleet) Update(from hsstate.Peer, r hsmessage.Report, now time.Time) (*Worker, bool) {
 	w := f.workers[r.Instance]
 	if w == nil {
@@ -93,7 +98,12 @@
 	if w.Report.Incarnation == r.Incarnation && r.Sequence <= w.Report.Sequence {
 		return w, false
 	}
+	if slices.Contains(w.retired, r.Incarnation) {
+		return w, false
+	}
 	if w.Report.Incarnation != r.Incarnation {
+		w.retired = append(w.retired, w.Report.Incarnation)
+		w.retired = w.retired[max(0, len(w.retired)-maxRetired):]
 		w.Serial = 0
 		clear(w.Ordered)
 	}
--- a/internal/play/agent.go
+++ b/internal/play/agent.go
@@ -35,6 +35,8 @@
 	Accelerators hsshape.Set
 	Began        time.Duration
 	Ended        time.Duration
+	// StopAsked is when the platform was made to stop it; zero for never.
+	StopAsked time.Duration
 	// Outcome is empty while it runs.
 	Outcome hsmessage.TaskPhase
 }
@@ -76,6 +78,7 @@
 	Plans    plans
 	endpoint hsid.Incarnation
 	down     bool
+	leaseEnd time.Duration
 	Leaving  bool
 	current  hsid.Incarnation
 	allowed  map[hsid.Incarnation]bool
@@ -145,6 +148,38 @@
 	}
 }
 
+// Renew implements hsagent.Platform.
+func (a *Agent) Renew(endpoint hsid.Incarnation, lease time.Duration) {
+	a.atEndpoint(endpoint, func() { a.renew(lease) })
+}
+
+// renew lets the tasks run until the lease is over, and then stops those that may run again.
+func (a *Agent) renew(lease time.Duration) {
+	a.leaseEnd = a.w.now + lease
+	end := a.leaseEnd
+	a.w.At(end, func() {
+		if a.leaseEnd != end {
+			return
+		}
+		for _, g := range a.grants() {
+			if t := a.tasks[g]; !t.record.Once {
+				a.stop(t)
+			}
+		}
+	})
+}
+
+func (a *Agent) stop(t *ptask) {
+	if t.run.Outcome != "" || t.stopping {
+		return
+	}
+	t.stopping = true
+	t.run.StopAsked = a.w.now
+	a.w.At(a.w.now+t.plan.Stop, func() {
+		a.finish(t, hsagent.Result{Phase: hsmessage.TaskStopped, Reason: "stopped on request"})
+	})
+}
+
 // Fail ends agent and endpoint with all tasks, as when the instance is lost.
 func (a *Agent) Fail() {
 	a.Crash()
@@ -207,10 +242,19 @@
 	a.alarm.rearm()
 }
 
+// delay is what a call to or from the platform takes.
+func (a *Agent) delay() time.Duration {
+	d := a.w.config.Latency
+	if j := a.w.config.PlatformJitter; j > 0 {
+		d += time.Duration(a.w.random.Int64N(int64(j)))
+	}
+	return d
+}
+
 // later tells this life of the agent something after the platform's latency.
 func (a *Agent) later(do func()) {
 	life := a.life
-	a.w.At(a.w.now+a.w.config.Latency, func() {
+	a.w.At(a.w.now+a.delay(), func() {
 		if a.agent != nil && a.life == life {
 			do()
 			a.alarm.rearm()
@@ -220,7 +264,7 @@
 
 // atEndpoint does something at the endpoint after the platform's latency, unless it was replaced.
 func (a *Agent) atEndpoint(endpoint hsid.Incarnation, do func()) {
-	a.w.At(a.w.now+a.w.config.Latency, func() {
+	a.w.At(a.w.now+a.delay(), func() {
 		if a.endpoint == endpoint && !a.down {
 			do()
 		}
@@ -267,6 +311,7 @@
 			return
 		}
 		if a.tasks[s.Grant] == nil {
+			a.renew(s.Lease)
 			a.begin(s)
 		}
 		a.tasks[s.Grant].watched = true
@@ -330,14 +375,9 @@
 // Stop implements hsagent.Platform.
 func (a *Agent) Stop(endpoint hsid.Incarnation, g hsid.Grant) {
 	a.atEndpoint(endpoint, func() {
-		t := a.tasks[g]
-		if t == nil || t.run.Outcome != "" || t.stopping {
-			return
+		if t := a.tasks[g]; t != nil {
+			a.stop(t)
 		}
-		t.stopping = true
-		a.w.At(a.w.now+t.plan.Stop, func() {
-			a.finish(t, hsagent.Result{Phase: hsmessage.TaskStopped, Reason: "stopped on request"})
-		})
 	})
 }
 
--- a/internal/play/world.go
+++ b/internal/play/world.go
@@ -35,6 +35,8 @@
 	// Latency is the time that a message takes; SyncTime that of a save.
 	Latency  time.Duration
 	SyncTime time.Duration
+	// PlatformJitter is the longest extra time that a call to or from a platform takes.
+	PlatformJitter time.Duration
 	// Lose, Double and Late are the shares of messages that are lost, doubled, and late by up to a second.
 	Lose   float64
 	Double float64
@@ -179,11 +181,12 @@
 // Heal ends all cuts.
 func (w *World) Heal() { clear(w.cut) }
 
-// Faultless has no more messages lost, doubled or late.
+// Faultless has no more messages lost, doubled or late, and no slow platforms.
 func (w *World) Faultless() {
 	w.config.Lose = 0
 	w.config.Double = 0
 	w.config.Late = 0
+	w.config.PlatformJitter = 0
 }
 
 func (w *World) peers() []hsstate.Peer {
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -92,6 +92,8 @@
 	fence   map[hsid.Incarnation]bool
 	agent   hsid.Incarnation
 	leaving bool
+	// lease is when tasks that may run again are stopped unless it is renewed; zero for never.
+	lease time.Time
 }
 
 // New returns an endpoint that isn't running.
@@ -121,6 +123,7 @@
 	mux.HandleFunc("POST /tasks/{job}/{attempt}/{term}", e.start)
 	mux.HandleFunc("GET /tasks/{job}/{attempt}/{term}", e.wait)
 	mux.HandleFunc("POST /tasks/{job}/{attempt}/{term}/stop", e.stop)
+	mux.HandleFunc("PUT /lease", e.renew)
 	mux.HandleFunc("DELETE /tasks/{job}/{attempt}/{term}", e.forget)
 	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	e.work.Go(func() { _ = e.server.Serve(listener) })
@@ -157,6 +160,7 @@
 	defer ticker.Stop()
 	for {
 		_ = e.announce()
+		e.expireLease()
 		select {
 		case <-ticker.C:
 		case <-e.context.Done():
@@ -165,6 +169,32 @@
 	}
 }
 
+// expireLease stops the tasks that may run again once the lease is over.
+func (e *Endpoint) expireLease() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.lease.IsZero() || time.Now().Before(e.lease) {
+		return
+	}
+	for _, t := range e.tasks {
+		if !t.body.Once {
+			t.once.Do(func() { close(t.stop) })
+		}
+	}
+}
+
+func (e *Endpoint) renew(w http.ResponseWriter, r *http.Request) {
+	millis, err := strconv.ParseInt(r.URL.Query().Get("millis"), 10, 64)
+	if err != nil {
+		http.Error(w, "millis is no number", http.StatusBadRequest)
+		return
+	}
+	e.mutex.Lock()
+	e.lease = time.Now().Add(time.Duration(millis) * time.Millisecond)
+	e.mutex.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (e *Endpoint) announce() error {
 	e.mutex.Lock()
 	a := hsendpoint.Announcement{
@@ -258,6 +288,9 @@
 // begin starts a task; the mutex is held.
 func (e *Endpoint) begin(g hsid.Grant, body *hsendpoint.StartBody, s script) {
 	t := &task{script: s, run: len(e.runs), stop: make(chan struct{}), ended: make(chan struct{})}
+	if body.LeaseMillis > 0 {
+		e.lease = time.Now().Add(time.Duration(body.LeaseMillis) * time.Millisecond)
+	}
 	t.body = hsendpoint.TaskBody{Job: g.Job, Attempt: g.Attempt, Term: g.Term, Accelerators: body.Accelerators, Once: body.Once}
 	if t.script.answer == "" {
 		t.script.answer = fmt.Sprintf("rank %d of %d on accelerators %v", body.Rank, body.Size, body.Accelerators)
@@ -313,6 +346,7 @@
 	t := e.tasks[g]
 	if t == nil {
 		http.Error(w, "there is no such task", http.StatusNotFound)
+		return nil
 	}
 	return t
 }
--- a/io/hsendpoint/protocol.go
+++ b/io/hsendpoint/protocol.go
@@ -9,7 +9,10 @@
 //	POST   /tasks/JOB/ATTEMPT/TERM/stop  checkpoint and stop it
 //	DELETE /tasks/JOB/ATTEMPT/TERM  forget it, once its answer is collected
 //
-// An endpoint keeps what it ran until it is told to forget it.
+//	PUT    /lease?millis=N          let the tasks run for N milliseconds from now
+//
+// An endpoint keeps what it ran until it is told to forget it. When the lease is over it stops every task
+// that may run again, since control may run it elsewhere; one that never runs twice goes on.
 //
 // # Usage
 //
@@ -81,9 +84,11 @@
 	Size         int              `json:"size"`
 	Accelerators hsshape.Set      `json:"accelerators"`
 	Once         bool             `json:"once"`
-	Workspace    hsid.WorkspaceID `json:"workspace"`
-	Kind         hsid.JobKind     `json:"kind"`
-	Input        []byte           `json:"input"`
+	// LeaseMillis renews the lease of all tasks, in milliseconds; zero leaves it.
+	LeaseMillis int64            `json:"leaseMillis"`
+	Workspace   hsid.WorkspaceID `json:"workspace"`
+	Kind        hsid.JobKind     `json:"kind"`
+	Input       []byte           `json:"input"`
 }
 
 // TaskBody describes a task. Outcome is empty while it runs.
--- a/io/hsplatform/platform.go
+++ b/io/hsplatform/platform.go
@@ -37,8 +37,11 @@
 const (
 	// requestTime bounds a request that isn't a wait.
 	requestTime = 5 * time.Second
-	// waitTime is how long one wait for the end of a task lasts.
-	waitTime   = 10 * time.Second
+	// waitTime is how long one wait for the end of a task lasts at most. Each wait renews the task's
+	// lease, so it is shorter for short leases.
+	waitTime = 10 * time.Second
+	// renewals is the number of waits in a lease.
+	renewals   = 4
 	firstRetry = 50 * time.Millisecond
 	maxRetry   = 2 * time.Second
 )
@@ -130,6 +133,7 @@
 		Size:         s.Size,
 		Accelerators: s.Accelerators,
 		Once:         s.Once,
+		LeaseMillis:  s.Lease.Milliseconds(),
 		Workspace:    s.Spec.Workspace,
 		Kind:         s.Spec.Kind,
 		Input:        s.Spec.Input,
@@ -153,6 +157,15 @@
 	p.watch(g, func(ctx context.Context) { p.await(ctx, g) })
 }
 
+// Renew lets the tasks run on for a time. A renewal that fails isn't repeated: it would count from too late.
+func (p *Platform) Renew(_ hsid.Incarnation, lease time.Duration) {
+	p.tasks.Go(func() {
+		if err := p.do(p.context, http.MethodPut, fmt.Sprintf("/lease?millis=%d", lease.Milliseconds()), nil, nil); err != nil {
+			p.log.Warn("lease of tasks wasn't renewed", "error", err)
+		}
+	})
+}
+
 // Stop has a task stopped; its end comes from the wait for it.
 func (p *Platform) Stop(_ hsid.Incarnation, g hsid.Grant) {
 	p.tasks.Go(func() {
--- a/test/whole/fuzz_test.go
+++ b/test/whole/fuzz_test.go
@@ -81,15 +81,16 @@
 	control.Quorum.SnapshotEvery = 50
 	control.Quorum.Retain = 8
 	w := play.New(play.Config{
-		Seed:     rapid.Uint64().Draw(t, "seed"),
-		Controls: 3,
-		Control:  control,
-		Interval: 500 * time.Millisecond,
-		Lose:     rapid.SampledFrom([]float64{0, 0.02, 0.1}).Draw(t, "lose"),
-		Double:   0.05,
-		Late:     rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "late"),
-		Drift:    0.015,
-		Copy:     true,
+		Seed:           rapid.Uint64().Draw(t, "seed"),
+		Controls:       3,
+		Control:        control,
+		Interval:       500 * time.Millisecond,
+		Lose:           rapid.SampledFrom([]float64{0, 0.02, 0.1}).Draw(t, "lose"),
+		Double:         0.05,
+		PlatformJitter: time.Duration(rapid.SampledFrom([]int{0, 20, 600}).Draw(t, "jitter")) * time.Millisecond,
+		Late:           rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "late"),
+		Drift:          0.015,
+		Copy:           true,
 	})
 	b := &bench{t: t, w: w, pushed: map[hsid.RuleNumber]string{}}
 	for i := range workers {
@@ -216,6 +217,7 @@
 // check looks at what must hold at every moment.
 func (b *bench) check() {
 	b.t.Helper()
+	b.checkAttempts()
 	live := map[hsid.InstanceID][]*play.Run{}
 	for _, r := range b.w.Book {
 		if r.Outcome != "" {
@@ -238,6 +240,21 @@
 	}
 }
 
+// checkAttempts checks that of one job only one attempt runs; an older one may still be stopping.
+func (b *bench) checkAttempts() {
+	b.t.Helper()
+	live := map[hsid.JobID]*play.Run{}
+	for _, r := range b.w.Book {
+		if r.Outcome != "" || r.StopAsked > 0 {
+			continue
+		}
+		if o := live[r.Grant.Job]; o != nil && o.Grant != r.Grant {
+			b.t.Fatalf("job %s: got attempts %s (since %s) and %s (since %s) running", r.Grant.Job, o.Grant, o.Began, r.Grant, r.Began)
+		}
+		live[r.Grant.Job] = r
+	}
+}
+
 // settle ends all failures and waits until every job has ended.
 func (b *bench) settle() {
 	b.t.Helper()
