hscontrol: policy measured against first fit; gangs stop losing their places

Cause: played through the core (hyssopseam-measure policy, 12 hours shaped like Kumasi), the first policy was worse for gangs than first fit in arrival order. Gangs were started on borrowed homes and as fillers of reservations and thrown out again and again by urgent checks of eight seconds; four reservations together closed most of the fleet to everybody else.

--- /dev/null
+++ b/cmd/hyssopseam-measure/main.go
@@ -0,0 +1,40 @@
+// Command hyssopseam-measure takes the measurements that docs/MEASUREMENTS.md and docs/CAPACITY.md show.
+//
+// # Usage
+//
+//	hyssopseam-measure policy [--sequence kumasi|portLouis|target] [--seeds N]
+//	hyssopseam-measure agents --controls IP:port,... [--count N] [--server IP:port] [--pushes N]
+//	hyssopseam-measure load --server IP:port [--callers N] [--time T]
+//
+// The first plays arrival sequences through the core on a fake clock. The others talk to daemons that the
+// operator started.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	root := &ffcli.Command{
+		Name:        "hyssopseam-measure",
+		ShortUsage:  "hyssopseam-measure policy|agents|load",
+		Subcommands: []*ffcli.Command{policyCommand(), agentsCommand(), loadCommand()},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	if err := root.ParseAndRun(ctx, os.Args[1:]); err != nil {
+		if !errors.Is(err, flag.ErrHelp) {
+			fmt.Fprintln(os.Stderr, "hyssopseam-measure:", err)
+		}
+		os.Exit(1)
+	}
+}
--- a/core/command/hscontrol/claim.go
+++ b/core/command/hscontrol/claim.go
@@ -14,11 +14,23 @@
 
 // Bounds of claims.
 const (
-	// maxReservations bounds the reservations for jobs past their age bound.
-	maxReservations = 4
+	// reservedShare bounds the accelerators that are reserved for jobs past their age bound, in percent of
+	// all; a single reservation may be larger.
+	reservedShare = 40
 	// startBudget is what a start itself takes of a guarantee's time: preparing, committing, and
 	// running the first task.
 	startBudget = 200 * time.Millisecond
+	// preemptAfter is how long an urgent job without a guarantee waits before others give way to it. It is
+	// above the run time of what is urgent, so that a burst of short jobs waits for its own.
+	preemptAfter = 20 * time.Second
+	// restartCost stands, for each accelerator of a job that gives way, for its new wait and start.
+	restartCost = 10 * time.Minute
+	// fillStop is how fast a job must be seen to stop to fill a reservation beyond its time, and fillShort
+	// how short an urgent job must be seen to run.
+	fillStop  = 5 * time.Second
+	fillShort = time.Minute
+	// fillTotal is the largest job that fills a reservation beyond its time.
+	fillTotal hsid.Accelerators = 2
 	// stopQuantile is the part of observed stops, in percent, that must be within the time.
 	stopQuantile = 99
 )
@@ -36,18 +48,87 @@
 	return ok && took+startBudget <= within
 }
 
-// mayBorrow reports whether a job may be placed on the home of a guarantee of another workspace.
-func (c *Control) mayBorrow(j *hsstate.Job, g *hsstate.Guarantee) bool {
-	return !c.config.Off.Borrowing && c.stoppable(j, g.Within)
+// mayBorrow reports whether a job may be placed on the home of a guarantee of another workspace. Gangs and
+// jobs that had to give way before would throw much work away, so they borrow only when they fit nowhere
+// else, and not again right after they had to give way.
+func (p *pass) mayBorrow(j *hsstate.Job, g *hsstate.Guarantee) bool {
+	if p.c.config.Off.Borrowing || !p.c.stoppable(j, g.Within) {
+		return false
+	}
+	if j.Spec.Shape.Workers == 1 && j.Preempted == 0 {
+		return true
+	}
+	cooled := j.Preempted == 0 || p.clock-j.Preempted > p.c.config.CoolDown
+	return cooled && p.needsHomes(j)
+}
+
+// needsHomes reports whether a job can never run outside the homes of other workspaces.
+func (p *pass) needsHomes(j *hsstate.Job) bool {
+	same := samenessOf(j, j.Spec.Class)
+	if needs, ok := p.needs[same]; ok {
+		return needs
+	}
+	foreign := make([]hsfleet.Mask, len(p.layout.Slots))
+	for i := range p.homes {
+		if p.homes[i].guarantee.Workspace != j.Spec.Workspace {
+			foreign = union(foreign, p.homes[i].masks)
+		}
+	}
+	needs := !p.layout.CanEver(&j.Spec, foreign)
+	p.needs[same] = needs
+	return needs
 }
 
-// mayFill reports whether a job may be placed on what is claimed for another: it must be estimated,
-// with caution, to end before the claim is ready.
+// mayFill reports whether a job may be placed on what is reserved for another: it must be estimated, with
+// caution, to end before the reservation is ready, be short and urgent, or be stoppable fast.
 func (p *pass) mayFill(j *hsstate.Job, claim *hsfleet.Claim) bool {
 	if claim.Kind != hsfleet.Reservation || p.c.config.Off.Backfill {
 		return false
 	}
-	return p.clock+hspredict.Run(p.c.state, &j.Spec, hspredict.Cautious) <= claim.Ready
+	run := hspredict.Run(p.c.state, &j.Spec, hspredict.Cautious)
+	switch {
+	case p.clock+run <= claim.Ready:
+		return true
+	case j.Spec.Class == hsstate.Urgent:
+		return run <= fillShort
+	}
+	return isSmall(j) && j.Preempted == 0 && p.c.stoppable(j, fillStop)
+}
+
+// isSmall tells the jobs of which little work is lost when they give way.
+func isSmall(j *hsstate.Job) bool {
+	return j.Spec.Class == hsstate.Batch && j.Spec.Shape.Total() <= fillTotal
+}
+
+// clearFillers stops the jobs that fill a reservation once nothing else is left on it.
+func (p *pass) clearFillers(claim *hsfleet.Claim) {
+	var fillers []hsid.JobID
+	for _, part := range claim.Parts {
+		s := p.layout.Slot(part.Worker)
+		if s == nil || !s.Usable {
+			return
+		}
+		missing := part.Mask &^ s.Free
+		for _, h := range p.holders(s, p.isFiller(claim)) {
+			if h.mask&missing != 0 {
+				missing &^= h.mask
+				fillers = append(fillers, h.job.ID)
+			}
+		}
+		if missing != 0 {
+			return
+		}
+	}
+	for _, id := range fillers {
+		p.c.stop(id, hsfleet.StopPreempted)
+	}
+}
+
+// isFiller tells the jobs that were started on a reservation because they can be stopped.
+func (p *pass) isFiller(claim *hsfleet.Claim) func(v *hsstate.Job) bool {
+	return func(v *hsstate.Job) bool {
+		return v.Started >= claim.Made && isSmall(v) && p.c.stoppable(v, fillStop)
+	}
 }
 
 // dropClaims drops the claims of jobs that aren't queued any more, and those on workers that are gone.
@@ -101,13 +182,18 @@
 	}
 }
 
-// reclaim claims the part of its workspace's home that a job needs, and names who gives way there.
+// reclaim claims the part of its workspace's home that a job needs, and names who gives way there. A job
+// smaller than the guaranteed shape makes others give way only when it is urgent or waited too long.
 func (p *pass) reclaim(j *hsstate.Job) (*hsfleet.Claim, []hsid.JobID) {
 	for i := range p.homes {
 		h := &p.homes[i]
 		if h.guarantee.Workspace != j.Spec.Workspace || !j.Spec.Shape.Fits(h.guarantee.Shape) {
 			continue
 		}
+		whole := j.Spec.Shape == h.guarantee.Shape
+		if !whole && j.Spec.Class != hsstate.Urgent && !p.c.lead.queue.Aged(j, p.clock) {
+			continue
+		}
 		give := func(v *hsstate.Job) bool {
 			return v.Spec.Workspace != j.Spec.Workspace && !v.Once
 		}
@@ -119,15 +205,15 @@
 	return nil, nil
 }
 
-// preempt claims room for an urgent job from jobs of lower classes that may run again and weren't
+// preempt claims room for an urgent job from batch jobs on single workers that may run again and weren't
 // stopped a short while ago.
 func (p *pass) preempt(j *hsstate.Job) (*hsfleet.Claim, []hsid.JobID) {
-	if j.Spec.Class != hsstate.Urgent || p.c.config.Off.Preemption || !p.c.lead.queue.Aged(j, p.clock) {
+	if j.Spec.Class != hsstate.Urgent || p.c.config.Off.Preemption || p.clock-j.Accepted < preemptAfter {
 		return nil, nil
 	}
 	give := func(v *hsstate.Job) bool {
 		cooled := v.Preempted == 0 || p.clock-v.Preempted > p.c.config.CoolDown
-		return v.Spec.Class == hsstate.Batch && !v.Once && cooled
+		return v.Spec.Class == hsstate.Batch && v.Spec.Shape.Workers == 1 && !v.Once && cooled
 	}
 	claim, victims := p.claimWithin(j, nil, give)
 	if claim != nil {
@@ -208,11 +294,7 @@
 		if id == but {
 			continue
 		}
-		for _, part := range claim.Parts {
-			if s := p.layout.Slot(part.Worker); s != nil {
-				closed[s.Index] |= part.Mask
-			}
-		}
+		closed = p.mark(closed, claim)
 	}
 	for i := range p.homes {
 		if homes && p.homes[i].guarantee.Workspace != p.workspaceOf(but) {
@@ -275,7 +357,7 @@
 				continue
 			}
 			ran := (p.clock - v.Started).Seconds()
-			lost := ran*float64(v.Spec.Shape.Total()) + 1
+			lost := (ran + restartCost.Seconds()) * float64(v.Spec.Shape.Total())
 			if p.c.lead.stops[id] != "" {
 				lost = 0
 			}
@@ -304,7 +386,7 @@
 
 // reserve keeps the accelerators that drain first for a job past its age bound.
 func (p *pass) reserve(j *hsstate.Job) *hsfleet.Claim {
-	if p.c.config.Off.Reservations || !p.c.lead.queue.Aged(j, p.clock) || p.reservations() >= maxReservations {
+	if p.c.config.Off.Reservations || !p.c.lead.queue.Aged(j, p.clock) || !p.mayReserve(j) {
 		return nil
 	}
 	var best []draining
@@ -343,14 +425,18 @@
 	return union(p.claimed(j.ID, false), p.homesClosedTo(j))
 }
 
-func (p *pass) reservations() int {
-	n := 0
+// mayReserve reports whether a job's reservation would stay within the share that may be reserved.
+func (p *pass) mayReserve(j *hsstate.Job) bool {
+	var reserved hsid.Accelerators
 	for _, claim := range p.c.lead.claims {
-		if claim.Kind == hsfleet.Reservation {
-			n++
+		if claim.Kind != hsfleet.Reservation {
+			continue
+		}
+		for _, part := range claim.Parts {
+			reserved += part.Mask.Count()
 		}
 	}
-	return n
+	return reserved == 0 || (reserved+j.Spec.Shape.Total())*100 <= p.layout.Total*reservedShare
 }
 
 // draining is a set of accelerators with the estimated time at which all of it is free.
--- a/core/command/hscontrol/config.go
+++ b/core/command/hscontrol/config.go
@@ -68,6 +68,7 @@
 	Breakers     bool
 	Observed     bool
 	Preemption   bool
+	Classes      bool
 }
 
 // WithDefaults returns the configuration with each zero value replaced by its default.
--- a/core/command/hscontrol/leadership.go
+++ b/core/command/hscontrol/leadership.go
@@ -93,6 +93,7 @@
 		homesDue:      true,
 	}
 	l.breakers.Disabled = c.config.Off.Breakers
+	l.queue.Flat = c.config.Off.Classes
 	for _, j := range c.state.Jobs {
 		switch j.Phase {
 		case hsstate.Queued:
--- a/core/command/hscontrol/request.go
+++ b/core/command/hscontrol/request.go
@@ -92,7 +92,7 @@
 		return fmt.Sprintf("no announced worker or rack can ever hold %s with %d millicores and %d bytes of memory a worker",
 			s.Spec.Shape, s.Spec.Cores, s.Spec.Memory), 0
 	}
-	p := &pass{c: c, rules: &c.state.Rules.InForce, layout: l}
+	p := &pass{c: c, clock: job.Accepted, rules: &c.state.Rules.InForce, layout: l, needs: map[sameness]bool{}}
 	p.markHomes()
 	if !l.CanEver(&s.Spec, p.homesClosedTo(job)) {
 		c.ports.Observer.Refused("neverOutsideHomes")
--- a/core/command/hscontrol/schedule.go
+++ b/core/command/hscontrol/schedule.go
@@ -27,7 +27,9 @@
 	failed map[sameness]hsfleet.Note
 	// unclaimed holds the kinds of jobs for which nothing could be claimed in this pass.
 	unclaimed map[sameness]bool
-	homes     []passHome
+	// needs remembers which kinds of jobs fit on homes of others only.
+	needs map[sameness]bool
+	homes []passHome
 }
 
 // passHome is a home with its masks, indexed like Layout.Slots.
@@ -84,6 +86,7 @@
 		used:      map[hsid.WorkspaceID]hsid.Accelerators{},
 		failed:    map[sameness]hsfleet.Note{},
 		unclaimed: map[sameness]bool{},
+		needs:     map[sameness]bool{},
 	}
 	for _, j := range c.lead.running {
 		p.used[j.Spec.Workspace] += j.Spec.Shape.Total()
@@ -199,7 +202,7 @@
 	closed := make([]hsfleet.Mask, len(p.layout.Slots))
 	for i := range p.homes {
 		h := &p.homes[i]
-		if h.guarantee.Workspace != j.Spec.Workspace && !p.c.mayBorrow(j, h.guarantee) {
+		if h.guarantee.Workspace != j.Spec.Workspace && !p.mayBorrow(j, h.guarantee) {
 			closed = union(closed, h.masks)
 		}
 	}
@@ -230,6 +233,9 @@
 		if members := p.placeOnClaim(j, claim); members != nil {
 			return members
 		}
+		if claim.Kind == hsfleet.Reservation {
+			p.clearFillers(claim)
+		}
 	}
 	return hsplacement.Place(p.layout, p.c.config.Weights, p.request(j))
 }
@@ -261,21 +267,21 @@
 		case h.guarantee.Workspace == j.Spec.Workspace:
 			q.Own = union(q.Own, h.masks)
 			q.PreferOwn = q.PreferOwn || j.Spec.Shape == h.guarantee.Shape
-		case p.c.mayBorrow(j, h.guarantee):
+		case p.mayBorrow(j, h.guarantee):
 			q.Borrowed = union(q.Borrowed, h.masks)
 		default:
 			q.Closed = union(q.Closed, h.masks)
 		}
 	}
 	for id, claim := range p.c.lead.claims {
-		if id == j.ID || p.mayFill(j, claim) {
+		if id == j.ID {
 			continue
 		}
-		for _, part := range claim.Parts {
-			if s := p.layout.Slot(part.Worker); s != nil {
-				q.Closed[s.Index] |= part.Mask
-			}
+		if p.mayFill(j, claim) {
+			q.Reserved = p.mark(q.Reserved, claim)
+			continue
 		}
+		q.Closed = p.mark(q.Closed, claim)
 	}
 	return q
 }
@@ -292,6 +298,19 @@
 	return hsplacement.ProbeFirst
 }
 
+// mark adds the accelerators of a claim to masks.
+func (p *pass) mark(masks []hsfleet.Mask, claim *hsfleet.Claim) []hsfleet.Mask {
+	if masks == nil {
+		masks = make([]hsfleet.Mask, len(p.layout.Slots))
+	}
+	for _, part := range claim.Parts {
+		if s := p.layout.Slot(part.Worker); s != nil {
+			masks[s.Index] |= part.Mask
+		}
+	}
+	return masks
+}
+
 func union(into, masks []hsfleet.Mask) []hsfleet.Mask {
 	if into == nil {
 		into = make([]hsfleet.Mask, len(masks))
--- a/core/command/hsplacement/place.go
+++ b/core/command/hsplacement/place.go
@@ -34,10 +34,14 @@
 	costWholeWorker = 1.0
 	costWholeRack   = 0.5
 	costLeftover    = 1.0
-	costBusy        = 1.0
-	costFailedHere  = 8.0
+	// costPosition draws work to the first workers in order of names, so that the last ones drain.
+	costPosition   = 0.0
+	costBusy       = 1.0
+	costFailedHere = 8.0
 	// costBorrow counts accelerators of a home that isn't the job's own.
 	costBorrow = 2.0
+	// costReserved counts accelerators that are reserved for another job.
+	costReserved = 4.0
 	// costOwnHome counts accelerators of the job's own home that a smaller job takes.
 	costOwnHome = 1.5
 	// gainProbe draws a small job to a worker that is to be probed, costProbe keeps other jobs off it
@@ -55,6 +59,8 @@
 	Own []hsfleet.Mask
 	// Borrowed holds the accelerators of other homes that the job may borrow.
 	Borrowed []hsfleet.Mask
+	// Reserved holds the accelerators of reservations that the job may fill.
+	Reserved []hsfleet.Mask
 	// PreferOwn is set when the job has the shape of its guarantee.
 	PreferOwn bool
 	// FailedOn lists workers on which the job failed.
@@ -178,7 +184,7 @@
 		if fit.Count() < n {
 			continue
 		}
-		mask := choose(fit, n, at(q.Own, s.Index), at(q.Borrowed, s.Index), q.PreferOwn)
+		mask := choose(fit, n, at(q.Own, s.Index), at(q.Borrowed, s.Index)|at(q.Reserved, s.Index), q.PreferOwn)
 		cost := cost(s, g, mask, w, q)
 		if !found || cost < best.cost {
 			best.mask = mask
@@ -190,9 +196,9 @@
 }
 
 // choose takes n accelerators out of fit: with preferOwn those of the own home first, otherwise those
-// of no home first and borrowed ones last.
-func choose(fit hsfleet.Mask, n hsid.Accelerators, own, borrowed hsfleet.Mask, preferOwn bool) hsfleet.Mask {
-	order := []hsfleet.Mask{fit &^ own &^ borrowed, fit & own, fit & borrowed}
+// of no home first and lent ones (borrowed or reserved for others) last.
+func choose(fit hsfleet.Mask, n hsid.Accelerators, own, lent hsfleet.Mask, preferOwn bool) hsfleet.Mask {
+	order := []hsfleet.Mask{fit &^ own &^ lent, fit & own &^ lent, fit & lent}
 	if preferOwn {
 		order[0], order[1] = order[1], order[0]
 	}
@@ -206,19 +212,17 @@
 func cost(s *hsfleet.Slot, group, mask hsfleet.Mask, w Weights, q *Request) float64 {
 	all := float64(s.Worker.All().Count())
 	left := float64((s.Free & group &^ mask).Count())
-	frag := costLeftover * left / all
+	frag := costLeftover*left/all + costPosition*float64(s.Index)/float64(s.Total)
 	if s.Whole() && left > 0 {
 		frag += costWholeWorker
 	}
-	slow := 0.0
-	if slots := s.Worker.Report.Worker.Slots; slots > 0 {
-		slow += costBusy * float64(s.Tasks) / float64(slots)
-	}
+	slow := costBusy * float64(s.Held.Count()) / all
 	total := w.Fragmentation*frag + w.Completion*slow
 	if slices.Contains(q.FailedOn, s.ID) {
 		total += costFailedHere
 	}
 	total += costBorrow * share(mask, at(q.Borrowed, s.Index))
+	total += costReserved * share(mask, at(q.Reserved, s.Index))
 	own := share(mask, at(q.Own, s.Index))
 	if q.PreferOwn {
 		own = own - 1
--- a/core/command/hsqueue/queue.go
+++ b/core/command/hsqueue/queue.go
@@ -33,6 +33,8 @@
 type Queue struct {
 	jobs  []*hsstate.Job
 	bound AgeBounds
+	// Flat counts all jobs as of one class, for comparison.
+	Flat bool
 }
 
 // New returns an empty queue.
@@ -68,6 +70,9 @@
 
 // Effective returns the class that a job counts as.
 func (q *Queue) Effective(j *hsstate.Job, clock time.Duration) hsstate.Class {
+	if q.Flat {
+		return hsstate.Normal
+	}
 	if j.Spec.Class > hsstate.Urgent && q.Aged(j, clock) {
 		return j.Spec.Class - 1
 	}
--- a/core/hsfleet/layout.go
+++ b/core/hsfleet/layout.go
@@ -12,6 +12,8 @@
 	ID     hsid.InstanceID
 	// Index is the slot's position in Layout.Slots.
 	Index int
+	// Total is the number of slots of the layout.
+	Total int
 	// Rack indexes Layout.Racks.
 	Rack int
 	// Free holds the accelerators that nobody holds; it is empty unless the worker is Usable.
@@ -84,8 +86,9 @@
 			l.occupy(m.Worker, MaskOf(m.Accelerators), h.Spec)
 		}
 	}
-	for i := range l.Slots {
-		l.addReported(l.Slots[i])
+	for _, s := range l.Slots {
+		s.Total = len(l.Slots)
+		l.addReported(s)
 	}
 	return l
 }
--- a/internal/play/agent.go
+++ b/internal/play/agent.go
@@ -109,6 +109,9 @@
 // Role returns the running role; nil while the agent is down.
 func (a *Agent) Role() *hsagent.Agent { return a.agent }
 
+// FailAll makes every task on the worker fail from now on, or no longer.
+func (a *Agent) FailAll(fail bool) { a.worker.FailAll = fail }
+
 // Peer returns the node's address.
 func (a *Agent) Peer() hsstate.Peer { return a.peer }
 
