--- a/core/command/hscontrol/applied.go
+++ b/core/command/hscontrol/applied.go
@@ -119,22 +119,13 @@
 	}
 }
 
-// forgetRunning drops a job from the running ones. Its members are found by the worker index, since a
-// queued job has none any more.
+// forgetRunning drops a job from the running ones.
 func (c *Control) forgetRunning(j *hsstate.Job) {
 	delete(c.lead.running, j.ID)
+	c.lead.runningList = nil
 	delete(c.lead.stops, j.ID)
 	delete(c.lead.stopping, j.ID)
-	c.unlinkEverywhere(j.ID)
-}
-
-func (c *Control) unlinkEverywhere(id hsid.JobID) {
-	var members []hsstate.Placement
-	for _, t := range c.lead.memberWorkers[id] {
-		members = append(members, hsstate.Placement{Worker: t})
-	}
-	delete(c.lead.memberWorkers, id)
-	c.lead.unlink(members, id)
+	c.lead.displace(j)
 }
 
 // appliedCancel acts on a committed cancellation.
--- a/core/command/hscontrol/attempt.go
+++ b/core/command/hscontrol/attempt.go
@@ -43,8 +43,8 @@
 	delete(l.claims, j.ID)
 	delete(l.notes, j.ID)
 	l.tickets[j.ID] = nil
+	l.place(j, members)
 	for _, m := range members {
-		l.link(m.Worker, j.ID)
 		l.markDirty(m.Worker)
 		t := ticket{worker: m.Worker, ticket: l.breakers.Begin(m.Worker, now)}
 		l.tickets[j.ID] = append(l.tickets[j.ID], t)
@@ -90,7 +90,7 @@
 // abort drops an attempt that isn't committed. The agents drop their holds with the next orders.
 func (c *Control) abort(a *attempt) {
 	delete(c.lead.attempts, a.job.ID)
-	c.lead.unlink(a.members, a.job.ID)
+	c.lead.displace(a.job)
 	c.releaseTickets(a.job.ID)
 	c.lead.passDue = true
 }
--- a/core/command/hscontrol/leadership.go
+++ b/core/command/hscontrol/leadership.go
@@ -22,11 +22,14 @@
 	queue    *hsqueue.Queue
 	breakers *hsbreaker.Book
 	running  map[hsid.JobID]*hsstate.Job
+	// runningList holds the same jobs; nil after a change.
+	runningList []*hsstate.Job
 	// byWorker lists the running jobs and the attempts of each worker.
 	byWorker map[hsid.InstanceID][]hsid.JobID
-	// memberWorkers lists the workers of each running job.
-	memberWorkers map[hsid.JobID][]hsid.InstanceID
-	attempts      map[hsid.JobID]*attempt
+	// placed holds the placements of each running job and attempt, and book sums them up.
+	placed   map[hsid.JobID][]hsstate.Placement
+	book     *hsfleet.Book
+	attempts map[hsid.JobID]*attempt
 	// tries holds the number of the newest attempt of each queued job that was prepared in this term.
 	tries  map[hsid.JobID]hsid.Attempt
 	claims map[hsid.JobID]*hsfleet.Claim
@@ -69,28 +72,29 @@
 func (c *Control) newLeadership() *leadership {
 	now := c.ports.Clock.Now()
 	l := &leadership{
-		term:          c.replica.Term(),
-		since:         now,
-		leases:        hslease.New(c.config.RulesLease, now),
-		fleet:         hsfleet.New(),
-		queue:         hsqueue.New(c.config.AgeBounds),
-		breakers:      hsbreaker.New(),
-		running:       map[hsid.JobID]*hsstate.Job{},
-		byWorker:      map[hsid.InstanceID][]hsid.JobID{},
-		memberWorkers: map[hsid.JobID][]hsid.InstanceID{},
-		attempts:      map[hsid.JobID]*attempt{},
-		tries:         map[hsid.JobID]hsid.Attempt{},
-		claims:        map[hsid.JobID]*hsfleet.Claim{},
-		notes:         map[hsid.JobID]hsfleet.Note{},
-		stops:         map[hsid.JobID]hsfleet.Stop{},
-		stopping:      map[hsid.JobID]bool{},
-		ending:        map[hsid.JobID]bool{},
-		tickets:       map[hsid.JobID][]ticket{},
-		replies:       map[hsid.LogIndex]awaited{},
-		jobWaiters:    map[hsid.JobID][]waiter{},
-		dirty:         map[hsid.InstanceID]*hsmessage.Lease{},
-		passAt:        now,
-		homesDue:      true,
+		term:       c.replica.Term(),
+		since:      now,
+		leases:     hslease.New(c.config.RulesLease, now),
+		fleet:      hsfleet.New(),
+		queue:      hsqueue.New(c.config.AgeBounds),
+		breakers:   hsbreaker.New(),
+		running:    map[hsid.JobID]*hsstate.Job{},
+		byWorker:   map[hsid.InstanceID][]hsid.JobID{},
+		placed:     map[hsid.JobID][]hsstate.Placement{},
+		book:       hsfleet.NewBook(),
+		attempts:   map[hsid.JobID]*attempt{},
+		tries:      map[hsid.JobID]hsid.Attempt{},
+		claims:     map[hsid.JobID]*hsfleet.Claim{},
+		notes:      map[hsid.JobID]hsfleet.Note{},
+		stops:      map[hsid.JobID]hsfleet.Stop{},
+		stopping:   map[hsid.JobID]bool{},
+		ending:     map[hsid.JobID]bool{},
+		tickets:    map[hsid.JobID][]ticket{},
+		replies:    map[hsid.LogIndex]awaited{},
+		jobWaiters: map[hsid.JobID][]waiter{},
+		dirty:      map[hsid.InstanceID]*hsmessage.Lease{},
+		passAt:     now,
+		homesDue:   true,
 	}
 	l.breakers.Disabled = c.config.Off.Breakers
 	l.queue.Flat = c.config.Off.Classes
@@ -107,24 +111,33 @@
 
 func (l *leadership) addRunning(j *hsstate.Job) {
 	l.running[j.ID] = j
-	l.memberWorkers[j.ID] = nil
-	for _, m := range j.Members {
-		l.memberWorkers[j.ID] = append(l.memberWorkers[j.ID], m.Worker)
-		l.link(m.Worker, j.ID)
-	}
+	l.runningList = nil
+	l.place(j, j.Members)
 }
 
-func (l *leadership) link(w hsid.InstanceID, j hsid.JobID) {
-	jobs := l.byWorker[w]
-	if at, found := slices.BinarySearch(jobs, j); !found {
-		l.byWorker[w] = slices.Insert(jobs, at, j)
+// place enters the placements of a job; those of an attempt that starts are entered already.
+func (l *leadership) place(j *hsstate.Job, members []hsstate.Placement) {
+	if l.placed[j.ID] != nil {
+		return
+	}
+	l.placed[j.ID] = members
+	l.book.Take(members, &j.Spec)
+	for _, m := range members {
+		jobs := l.byWorker[m.Worker]
+		if at, found := slices.BinarySearch(jobs, j.ID); !found {
+			l.byWorker[m.Worker] = slices.Insert(jobs, at, j.ID)
+		}
 	}
 }
 
-func (l *leadership) unlink(members []hsstate.Placement, j hsid.JobID) {
+// displace strikes out the placements of a job, and tells its agents.
+func (l *leadership) displace(j *hsstate.Job) {
+	members := l.placed[j.ID]
+	delete(l.placed, j.ID)
+	l.book.Release(members, &j.Spec)
 	for _, m := range members {
 		jobs := l.byWorker[m.Worker]
-		if at, found := slices.BinarySearch(jobs, j); found {
+		if at, found := slices.BinarySearch(jobs, j.ID); found {
 			l.byWorker[m.Worker] = slices.Delete(jobs, at, at+1)
 		}
 		l.markDirty(m.Worker)
@@ -144,14 +157,15 @@
 	}
 }
 
-// runningJobs returns the running jobs in the order of their names.
+// runningJobs returns the running jobs in no particular order. The caller doesn't change the slice.
 func (l *leadership) runningJobs() []*hsstate.Job {
-	jobs := make([]*hsstate.Job, 0, len(l.running))
-	for _, j := range l.running {
-		jobs = append(jobs, j)
+	if l.runningList == nil {
+		l.runningList = make([]*hsstate.Job, 0, len(l.running))
+		for _, j := range l.running {
+			l.runningList = append(l.runningList, j)
+		}
 	}
-	slices.SortFunc(jobs, func(a, b *hsstate.Job) int { return int(int64(a.Index) - int64(b.Index)) })
-	return jobs
+	return l.runningList
 }
 
 // learned reports whether every agent had the time to report to this leader.
@@ -161,12 +175,7 @@
 
 // layout pictures the fleet with all that is running or being prepared.
 func (c *Control) layout() *hsfleet.Layout {
-	l := c.lead
-	held := make([]hsfleet.Holding, 0, len(l.attempts))
-	for _, a := range l.attempts {
-		held = append(held, hsfleet.Holding{Members: a.members, Spec: &a.job.Spec})
-	}
-	return hsfleet.NewLayout(l.fleet, c.state.Rules.InForce.Number, l.runningJobs(), held)
+	return hsfleet.NewLayout(c.lead.fleet, c.state.Rules.InForce.Number, c.lead.book)
 }
 
 // propose appends a command; a failure means that leadership was lost, and what was to be done is
--- a/core/command/hscontrol/schedule.go
+++ b/core/command/hscontrol/schedule.go
@@ -21,8 +21,6 @@
 	rules  *hsstate.RuleSet
 	layout *hsfleet.Layout
 	walk   *hsqueue.Walk
-	// used counts the accelerators that each workspace holds, for its quota.
-	used map[hsid.WorkspaceID]hsid.Accelerators
 	// failed holds the kinds of jobs that didn't fit in this pass; the layout only fills up.
 	failed map[sameness]hsfleet.Note
 	// unclaimed holds the kinds of jobs for which nothing could be claimed in this pass.
@@ -83,17 +81,10 @@
 		rules:     &c.state.Rules.InForce,
 		layout:    layout,
 		walk:      c.lead.queue.Walk(c.replica.Clock(), c.shares(layout)),
-		used:      map[hsid.WorkspaceID]hsid.Accelerators{},
 		failed:    map[sameness]hsfleet.Note{},
 		unclaimed: map[sameness]bool{},
 		needs:     map[sameness]bool{},
 	}
-	for _, j := range c.lead.running {
-		p.used[j.Spec.Workspace] += j.Spec.Shape.Total()
-	}
-	for _, a := range c.lead.attempts {
-		p.used[a.job.Spec.Workspace] += a.job.Spec.Shape.Total()
-	}
 	p.markProbes()
 	p.markHomes()
 	return p
@@ -103,11 +94,7 @@
 	if c.config.Off.Fairness {
 		return hsqueue.Shares{}
 	}
-	running := c.lead.runningJobs()
-	for _, a := range c.lead.attempts {
-		running = append(running, a.job)
-	}
-	return hsqueue.SharesOf(l, running)
+	return hsqueue.SharesOf(l, c.lead.book)
 }
 
 // markProbes opens the workers whose probe is due to jobs that may be a probe.
@@ -158,8 +145,9 @@
 		p.c.giveUp(j, "it couldn't be started within the asked time")
 		return
 	}
-	if quota, bounded := p.rules.Quota(j.Spec.Workspace); bounded && p.used[j.Spec.Workspace]+j.Spec.Shape.Total() > quota {
-		l.notes[j.ID] = hsfleet.Note{Obstacle: fmt.Sprintf("the workspace holds %d of its quota of %d accelerators", p.used[j.Spec.Workspace], quota)}
+	used := l.book.Usage(j.Spec.Workspace).Accelerators
+	if quota, bounded := p.rules.Quota(j.Spec.Workspace); bounded && used+j.Spec.Shape.Total() > quota {
+		l.notes[j.ID] = hsfleet.Note{Obstacle: fmt.Sprintf("the workspace holds %d of its quota of %d accelerators", used, quota)}
 		return
 	}
 	same := samenessOf(j, l.queue.Effective(j, p.clock))
@@ -216,7 +204,6 @@
 
 func (p *pass) take(j *hsstate.Job, members []hsstate.Placement) {
 	p.layout.Take(members, &j.Spec)
-	p.used[j.Spec.Workspace] += j.Spec.Shape.Total()
 	p.walk.Charge(j.Spec.Workspace, hsqueue.ShareOf(p.layout, &j.Spec))
 	p.c.prepare(j, members)
 	for _, m := range members {
--- a/core/command/hsplacement/place.go
+++ b/core/command/hsplacement/place.go
@@ -34,10 +34,8 @@
 	costWholeWorker = 1.0
 	costWholeRack   = 0.5
 	costLeftover    = 1.0
-	// costPosition draws work to the first workers in order of names, so that the last ones drain.
-	costPosition   = 0.0
-	costBusy       = 1.0
-	costFailedHere = 8.0
+	costBusy        = 1.0
+	costFailedHere  = 8.0
 	// costBorrow counts accelerators of a home that isn't the job's own.
 	costBorrow = 2.0
 	// costReserved counts accelerators that are reserved for another job.
@@ -212,7 +210,7 @@
 func cost(s *hsfleet.Slot, group, mask hsfleet.Mask, w Weights, q *Request) float64 {
 	all := float64(s.Worker.All().Count())
 	left := float64((s.Free & group &^ mask).Count())
-	frag := costLeftover*left/all + costPosition*float64(s.Index)/float64(s.Total)
+	frag := costLeftover * left / all
 	if s.Whole() && left > 0 {
 		frag += costWholeWorker
 	}
--- a/core/command/hsplacement/place_test.go
+++ b/core/command/hsplacement/place_test.go
@@ -18,7 +18,7 @@
 // held.
 func layoutOf(held ...int) *hsfleet.Layout {
 	f := hsfleet.New()
-	var running []*hsstate.Job
+	book := hsfleet.NewBook()
 	for i, n := range held {
 		id := hsid.InstanceID(fmt.Sprintf("w%d", i))
 		r := hsmessage.Report{Listed: true}
@@ -29,10 +29,10 @@
 		f.Update("p", r, time.Unix(1, 0))
 		if n > 0 {
 			members := []hsstate.Placement{{Worker: id, Accelerators: hsfleet.Mask(1<<n - 1).Set()}}
-			running = append(running, &hsstate.Job{Members: members})
+			book.Take(members, &hsstate.Spec{})
 		}
 	}
-	return hsfleet.NewLayout(f, 0, running, nil)
+	return hsfleet.NewLayout(f, 0, book)
 }
 
 func shapeOf(text string) hsshape.Shape {
--- a/core/hsfleet/layout.go
+++ b/core/hsfleet/layout.go
@@ -12,8 +12,6 @@
 	ID     hsid.InstanceID
 	// Index is the slot's position in Layout.Slots.
 	Index int
-	// Total is the number of slots of the layout.
-	Total int
 	// Rack indexes Layout.Racks.
 	Rack int
 	// Free holds the accelerators that nobody holds; it is empty unless the worker is Usable.
@@ -57,43 +55,26 @@
 	TotalMemory hsid.Bytes
 }
 
-// Holding is a placement that isn't in the replicated state yet.
-type Holding struct {
-	Members []hsstate.Placement
-	Spec    *hsstate.Spec
-}
-
 type rackKey struct {
 	zone hsid.ZoneID
 	rack hsid.RackID
 }
 
-// NewLayout pictures the fleet: running holds the jobs whose members occupy workers, held the
-// placements under preparation. What an agent reports beyond that is busy too.
-func NewLayout(f *Fleet, rules hsid.RuleNumber, running []*hsstate.Job, held []Holding) *Layout {
+// NewLayout pictures the fleet with the placements of a book. What an agent reports beyond that is busy too.
+func NewLayout(f *Fleet, rules hsid.RuleNumber, b *Book) *Layout {
 	l := &Layout{byID: make(map[hsid.InstanceID]*Slot, f.Len())}
 	racks := map[rackKey]int{}
 	f.Each(func(w *Worker) {
-		l.addWorker(w, rules, racks)
-	})
-	for _, j := range running {
-		for _, m := range j.Members {
-			l.occupy(m.Worker, MaskOf(m.Accelerators), &j.Spec)
-		}
-	}
-	for _, h := range held {
-		for _, m := range h.Members {
-			l.occupy(m.Worker, MaskOf(m.Accelerators), h.Spec)
+		s := l.addWorker(w, rules, racks)
+		if o := b.workers[s.ID]; o != nil {
+			s.hold(o)
 		}
-	}
-	for _, s := range l.Slots {
-		s.Total = len(l.Slots)
-		l.addReported(s)
-	}
+		s.addReported()
+	})
 	return l
 }
 
-func (l *Layout) addWorker(w *Worker, rules hsid.RuleNumber, racks map[rackKey]int) {
+func (l *Layout) addWorker(w *Worker, rules hsid.RuleNumber, racks map[rackKey]int) *Slot {
 	info := &w.Report.Worker
 	s := &Slot{
 		Worker: w,
@@ -122,23 +103,20 @@
 	l.Racks[at].Slots = append(l.Racks[at].Slots, s)
 	l.Slots = append(l.Slots, s)
 	l.byID[s.ID] = s
+	return s
 }
 
-func (l *Layout) occupy(id hsid.InstanceID, m Mask, spec *hsstate.Spec) {
-	s := l.byID[id]
-	if s == nil {
-		return
-	}
-	s.Held |= m
-	s.Free &^= m
-	s.Cores -= spec.Cores
-	s.Memory -= spec.Memory
-	s.Tasks++
+func (s *Slot) hold(o *occupancy) {
+	s.Held |= o.held
+	s.Free &^= o.held
+	s.Cores -= o.cores
+	s.Memory -= o.memory
+	s.Tasks += o.tasks
 }
 
 // addReported marks what the agent says it still holds. The usage that a worker reports lags, so it is
 // never used to infer that an accelerator is free.
-func (l *Layout) addReported(s *Slot) {
+func (s *Slot) addReported() {
 	for _, t := range s.Worker.Report.Tasks {
 		if t.Phase == hsmessage.TaskHeld || t.Phase == hsmessage.TaskRunning {
 			m := MaskOf(t.Accelerators)
@@ -154,7 +132,9 @@
 // Take marks the accelerators of a placement as held.
 func (l *Layout) Take(members []hsstate.Placement, spec *hsstate.Spec) {
 	for _, m := range members {
-		l.occupy(m.Worker, MaskOf(m.Accelerators), spec)
+		if s := l.byID[m.Worker]; s != nil {
+			s.hold(&occupancy{held: MaskOf(m.Accelerators), cores: spec.Cores, memory: spec.Memory, tasks: 1})
+		}
 	}
 }
 
--- a/io/hsapp/role.go
+++ b/io/hsapp/role.go
@@ -149,6 +149,7 @@
 			Heartbeat:     time.Duration(c.Heartbeat),
 			Election:      time.Duration(c.Election),
 			SnapshotEvery: c.SnapshotEvery,
+			MaxBatch:      c.MaxBatch,
 		},
 		Controls: s.Controls,
 		Weights: hsplacement.Weights{
--- a/io/hssettings/check.go
+++ b/io/hssettings/check.go
@@ -57,6 +57,7 @@
 }
 
 func (c *checker) check(s *Settings) {
+	c.spelling()
 	c.name("instance", string(s.Instance))
 	c.name("zone", string(s.Zone))
 	c.roles(s)
@@ -166,6 +167,9 @@
 	if n := s.Control.SnapshotEvery; n < 0 {
 		c.fault("control.snapshotEvery", "%d is below zero", n)
 	}
+	if n := s.Control.MaxBatch; n < 0 {
+		c.fault("control.maxBatch", "%d is below zero", n)
+	}
 	c.weight("control.completionWeight", s.Control.CompletionWeight)
 	c.weight("control.fragmentationWeight", s.Control.FragmentationWeight)
 }
--- a/io/hssettings/settings.go
+++ b/io/hssettings/settings.go
@@ -85,6 +85,8 @@
 	AgeBatch            Duration `toml:"ageBatch"`
 	CoolDown            Duration `toml:"coolDown"`
 	SnapshotEvery       int      `toml:"snapshotEvery"`
+	// MaxBatch bounds the log entries of one save and one message; 1 switches batching off.
+	MaxBatch int `toml:"maxBatch"`
 }
 
 // Agent holds the settings of the agent role.
