hslink: smaller queues; measure: sizes of messages and state

Cause: each connection held room for 4,096 queued messages, 98 KB, so a leader with 770 agents took 122 MB. Before: 122,344 kB resident at 770 agents. Conclusion: 512 messages are enough; what doesn't fit is dropped and sent again.

--- a/cmd/hyssopseam-measure/main.go
+++ b/cmd/hyssopseam-measure/main.go
@@ -5,6 +5,7 @@
 //	hyssopseam-measure policy [--sequence kumasi|portLouis|target] [--seeds N]
 //	hyssopseam-measure agents --controls IP:port,... [--count N] [--server IP:port] [--pushes N]
 //	hyssopseam-measure load --server IP:port [--callers N] [--time T]
+//	hyssopseam-measure sizes
 //
 // The first plays arrival sequences through the core on a fake clock. The others talk to daemons that the
 // operator started.
@@ -27,8 +28,8 @@
 	defer stop()
 	root := &ffcli.Command{
 		Name:        "hyssopseam-measure",
-		ShortUsage:  "hyssopseam-measure policy|agents|load",
-		Subcommands: []*ffcli.Command{policyCommand(), agentsCommand(), loadCommand()},
+		ShortUsage:  "hyssopseam-measure policy|agents|load|sizes",
+		Subcommands: []*ffcli.Command{policyCommand(), agentsCommand(), loadCommand(), sizesCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	if err := root.ParseAndRun(ctx, os.Args[1:]); err != nil {
--- a/io/hslink/links.go
+++ b/io/hslink/links.go
@@ -40,7 +40,7 @@
 // Defaults of a Config.
 const (
 	DefaultHeartbeat = 500 * time.Millisecond
-	DefaultBacklog   = 4096
+	DefaultBacklog   = 512
 
 	// silentHeartbeats is the number of heartbeats without a frame after which a connection is closed.
 	silentHeartbeats = 3
