--- a/cmd/hyssopseam-measure/agents.go
+++ b/cmd/hyssopseam-measure/agents.go
@@ -133,7 +133,7 @@
 		}
 	}()
 	for _, h := range all {
-		for h.process.Published().RulesOK == false && ctx.Err() == nil {
+		for !h.process.Published().RulesOK && ctx.Err() == nil {
 			time.Sleep(10 * time.Millisecond)
 		}
 	}
--- a/cmd/hyssopseam-measure/main.go
+++ b/cmd/hyssopseam-measure/main.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	hyssopseam-measure policy [--sequence kumasi|portLouis|target] [--seeds N]
+//	hyssopseam-measure policy [--sequence kumasi|portLouis|saturated|target] [--seeds N]
 //	hyssopseam-measure agents --controls IP:port,... [--count N] [--server IP:port] [--pushes N]
 //	hyssopseam-measure load --server IP:port [--callers N] [--time T]
 //	hyssopseam-measure sizes
--- a/cmd/hyssopseam-measure/policy.go
+++ b/cmd/hyssopseam-measure/policy.go
@@ -57,7 +57,7 @@
 		FlagSet:   fs,
 		Exec: func(context.Context, []string) error {
 			for _, s := range sequences() {
-				if *name == "" && s.name != "target" || *name == s.name {
+				if *name == s.name || *name == "" && s.name != "target" {
 					playAll(&s, *only, *seeds)
 				}
 			}
--- a/cmd/hyssopseam-measure/sequence.go
+++ b/cmd/hyssopseam-measure/sequence.go
@@ -56,7 +56,7 @@
 }
 
 func sequences() []sequence {
-	return []sequence{kumasi(), portLouis(), target()}
+	return []sequence{kumasi(), portLouis(), saturated(), target()}
 }
 
 func kumasi() sequence {
@@ -102,6 +102,21 @@
 	}
 }
 
+// saturated is Kumasi with more long jobs of three workspaces than fit, while the fourth comes only now and
+// then for what it is guaranteed.
+func saturated() sequence {
+	s := kumasi()
+	s.name = "saturated"
+	s.length = 6 * time.Hour
+	busy := []hsid.WorkspaceID{"suame", "bantama", "accra"}
+	s.streams = []stream{
+		{busy, "order", shape(2, 1), hsstate.Normal, 90 * time.Second, 30 * time.Minute, 2, time.Second, 1, 0},
+		{busy, "batchMeasure", shape(1, 1), hsstate.Batch, 30 * time.Second, 40 * time.Minute, 3, 300 * time.Millisecond, 1, 0},
+		{[]hsid.WorkspaceID{"kejetia"}, "fittingBlock", shape(8, 1), hsstate.Urgent, 20 * time.Minute, 5 * time.Minute, 1.5, 400 * time.Millisecond, 1, 0},
+	}
+	return s
+}
+
 // target is shaped like the deployment in two years: 770 workers, about 590 jobs a day, most for hours, and
 // about 7,900 tasks running.
 func target() sequence {
--- a/core/command/hsagent/orders.go
+++ b/core/command/hsagent/orders.go
@@ -114,12 +114,21 @@
 
 // hold takes the accelerators, or refuses and says why.
 func (a *Agent) hold(o *hsmessage.Order) {
-	t := &task{once: o.Once}
-	t.report = hsmessage.Task{Grant: o.Grant, Accelerators: o.Accelerators, Phase: hsmessage.TaskHeld}
 	if reason := a.refusal(o); reason != "" {
-		t.report.Phase = hsmessage.TaskRefused
-		t.report.Reason = reason
+		a.refuse(o, reason)
+		return
 	}
+	a.enter(o, hsmessage.TaskHeld, "")
+}
+
+// refuse records that a grant won't run here.
+func (a *Agent) refuse(o *hsmessage.Order, reason string) {
+	a.enter(o, hsmessage.TaskRefused, reason)
+}
+
+func (a *Agent) enter(o *hsmessage.Order, phase hsmessage.TaskPhase, reason string) {
+	t := &task{once: o.Once}
+	t.report = hsmessage.Task{Grant: o.Grant, Accelerators: o.Accelerators, Phase: phase, Reason: reason}
 	a.tasks[o.Grant] = t
 	a.changed = true
 }
@@ -146,11 +155,7 @@
 	case t == nil && !a.listed:
 		// An earlier life of this agent may have started it.
 	case t == nil:
-		t = &task{once: o.Once}
-		t.report = hsmessage.Task{Grant: o.Grant, Accelerators: o.Accelerators, Phase: hsmessage.TaskRefused}
-		t.report.Reason = "the grant isn't held"
-		a.tasks[o.Grant] = t
-		a.changed = true
+		a.refuse(o, "the grant isn't held")
 	case t.report.Phase == hsmessage.TaskHeld && o.Spec != nil:
 		t.report.Phase = hsmessage.TaskRunning
 		t.report.Ran = true
@@ -173,11 +178,7 @@
 	case t == nil && !a.listed:
 		// An earlier life of this agent may have started it.
 	case t == nil:
-		t = &task{once: o.Once}
-		t.report = hsmessage.Task{Grant: o.Grant, Accelerators: o.Accelerators, Phase: hsmessage.TaskRefused}
-		t.report.Reason = "it was stopped before it was held"
-		a.tasks[o.Grant] = t
-		a.changed = true
+		a.refuse(o, "it was stopped before it was held")
 	case t.report.Phase == hsmessage.TaskHeld:
 		t.report.Phase = hsmessage.TaskStopped
 		t.report.Reason = "it was stopped before it ran"
--- /dev/null
+++ b/core/command/hscontrol/yield.go
@@ -0,0 +1,171 @@
+package hscontrol
+
+import (
+	"slices"
+
+	"hyssopseam/core/hsfleet"
+	"hyssopseam/core/hsid"
+	"hyssopseam/core/hsstate"
+)
+
+// yield is a way to get n accelerators of one worker.
+type yield struct {
+	part    hsfleet.Part
+	victims []hsid.JobID
+	// lost is the work that would be thrown away, in accelerator-seconds.
+	lost float64
+}
+
+// claimWithin finds the accelerators for a job that throw the least work away, inside the masks (nil for
+// anywhere) and outside other claims, when everything that may give way does.
+func (p *pass) claimWithin(j *hsstate.Job, masks []hsfleet.Mask, give func(v *hsstate.Job) bool) (*hsfleet.Claim, []hsid.JobID) {
+	var best []yield
+	bestLost := 0.0
+	closed := p.claimed(j.ID, masks == nil)
+	for i := range p.layout.Racks {
+		var yields []yield
+		for _, s := range p.layout.Racks[i].Slots {
+			within := s.Worker.All()
+			if masks != nil {
+				within = masks[s.Index]
+			}
+			if y, ok := p.yieldOn(j, s, within&^closed[s.Index], give); ok {
+				yields = append(yields, y)
+			}
+		}
+		if hsid.WorkerCount(len(yields)) < j.Spec.Shape.Workers {
+			continue
+		}
+		slices.SortStableFunc(yields, func(a, b yield) int { return compare(a.lost, b.lost) })
+		yields = yields[:j.Spec.Shape.Workers]
+		lost := 0.0
+		for _, y := range yields {
+			lost += y.lost
+		}
+		if best == nil || lost < bestLost {
+			best = yields
+			bestLost = lost
+		}
+	}
+	if best == nil {
+		return nil, nil
+	}
+	claim := &hsfleet.Claim{Job: j.ID, Ready: p.clock}
+	var victims []hsid.JobID
+	for _, y := range best {
+		claim.Parts = append(claim.Parts, y.part)
+		for _, v := range y.victims {
+			if !slices.Contains(victims, v) {
+				victims = append(victims, v)
+			}
+		}
+	}
+	return claim, victims
+}
+
+func compare(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// claimed returns what is claimed for other jobs, and with homes what is the home of other workspaces.
+func (p *pass) claimed(but hsid.JobID, homes bool) []hsfleet.Mask {
+	closed := make([]hsfleet.Mask, len(p.layout.Slots))
+	for id, claim := range p.c.lead.claims {
+		if id == but {
+			continue
+		}
+		closed = p.mark(closed, claim)
+	}
+	for i := range p.homes {
+		if homes && p.homes[i].guarantee.Workspace != p.workspaceOf(but) {
+			closed = union(closed, p.homes[i].masks)
+		}
+	}
+	return closed
+}
+
+func (p *pass) workspaceOf(id hsid.JobID) hsid.WorkspaceID {
+	if j := p.c.state.Jobs[id]; j != nil {
+		return j.Spec.Workspace
+	}
+	return ""
+}
+
+// yieldOn finds n adjacent accelerators of a worker that are free or held by jobs that may give way.
+func (p *pass) yieldOn(j *hsstate.Job, s *hsfleet.Slot, within hsfleet.Mask, give func(v *hsstate.Job) bool) (yield, bool) {
+	if !s.Usable || s.Probe || within == 0 {
+		return yield{}, false
+	}
+	open := s.Free & within
+	holders := p.holders(s, give)
+	for _, v := range holders {
+		open |= v.mask & within
+	}
+	best := yield{}
+	found := false
+	for _, g := range s.Worker.Groups() {
+		fit := open & g
+		if fit.Count() < j.Spec.Shape.PerWorker {
+			continue
+		}
+		y := p.chooseYield(s, fit, j.Spec.Shape.PerWorker, holders)
+		if !found || y.lost < best.lost {
+			best = y
+			found = true
+		}
+	}
+	return best, found
+}
+
+// holder is a job that may give way on a worker.
+type holder struct {
+	job  *hsstate.Job
+	mask hsfleet.Mask
+	lost float64
+}
+
+// holders lists the jobs on a worker that may give way, least lost work first.
+func (p *pass) holders(s *hsfleet.Slot, give func(v *hsstate.Job) bool) []holder {
+	var all []holder
+	for _, id := range p.c.lead.byWorker[s.ID] {
+		v := p.c.lead.running[id]
+		if v == nil || !give(v) || p.c.lead.ending[id] {
+			continue
+		}
+		for _, m := range v.Members {
+			if m.Worker != s.ID {
+				continue
+			}
+			ran := (p.clock - v.Started).Seconds()
+			lost := (ran + restartCost.Seconds()) * float64(v.Spec.Shape.Total())
+			if p.c.lead.stops[id] != "" {
+				lost = 0
+			}
+			all = append(all, holder{job: v, mask: hsfleet.MaskOf(m.Accelerators), lost: lost})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b holder) int { return compare(a.lost, b.lost) })
+	return all
+}
+
+func (p *pass) chooseYield(s *hsfleet.Slot, fit hsfleet.Mask, n hsid.Accelerators, holders []holder) yield {
+	y := yield{part: hsfleet.Part{Worker: s.ID}}
+	y.part.Mask = (fit & s.Free).Lowest(n)
+	for _, h := range holders {
+		if y.part.Mask.Count() >= n {
+			break
+		}
+		if take := (fit & h.mask).Lowest(n - y.part.Mask.Count()); take != 0 {
+			y.part.Mask |= take
+			y.victims = append(y.victims, h.job.ID)
+			y.lost += h.lost
+		}
+	}
+	return y
+}
--- a/core/command/hsentry/entry.go
+++ b/core/command/hsentry/entry.go
@@ -36,7 +36,7 @@
 	MaxPending = 10000
 
 	firstResend = 200 * time.Millisecond
-	maxResend   = 2 * time.Second
+	maxResend   = 500 * time.Millisecond
 	// redirectPause is the time between a redirection and the next try.
 	redirectPause = 20 * time.Millisecond
 	refusedRetry  = time.Second
@@ -209,9 +209,13 @@
 	case hsmessage.Reply:
 		e.receiveReply(from, m)
 	case hsmessage.Lease:
+		before := e.holder.Leader()
 		if e.holder.Take(from, m) {
 			e.renewAt = e.ports.Clock.Now()
 		}
+		if e.holder.Leader() != before {
+			e.resendAll()
+		}
 	case hsmessage.Redirect:
 		if e.holder.Turn(from, m.Leader) {
 			e.renewAt = e.ports.Clock.Now().Add(redirectPause)
@@ -235,6 +239,15 @@
 	e.ports.Answerer.Answer(m)
 }
 
+// resendAll has every request sent to a leader that was just found.
+func (e *Entry) resendAll() {
+	now := e.ports.Clock.Now()
+	for _, p := range e.pending {
+		p.resend = now
+		p.pause = firstResend
+	}
+}
+
 // Wake acts on the passing of time.
 func (e *Entry) Wake() {
 	now := e.ports.Clock.Now()
--- a/core/command/hsholder/holder.go
+++ b/core/command/hsholder/holder.go
@@ -27,7 +27,7 @@
 const (
 	// silentIntervals is the number of intervals without an answer after which another control replica
 	// is asked.
-	silentIntervals = 3
+	silentIntervals = 2
 	// maxSent bounds the renewals whose send times are remembered.
 	maxSent = 100
 )
--- a/core/command/hsquorum/cluster_test.go
+++ b/core/command/hsquorum/cluster_test.go
@@ -108,7 +108,7 @@
 // crash ends the node; the save under way may or may not be on the disk.
 func (n *node) crash(written bool) {
 	if n.pending != nil && written {
-		n.persist(*n.pending)
+		n.stored = n.stored.Apply(*n.pending)
 	}
 	n.pending = nil
 	n.replica = nil
@@ -139,23 +139,6 @@
 	n.pending = &s
 }
 
-func (n *node) persist(s hsquorum.Save) {
-	n.stored.Hard = s.Hard
-	if s.Snapshot != nil {
-		n.stored.Snapshot = *s.Snapshot
-		n.stored.Entries = slices.Clone(s.Entries)
-		return
-	}
-	if len(s.Entries) == 0 {
-		return
-	}
-	keep := slices.IndexFunc(n.stored.Entries, func(e hsstate.Entry) bool { return e.Index >= s.Entries[0].Index })
-	if keep >= 0 {
-		n.stored.Entries = n.stored.Entries[:keep:keep]
-	}
-	n.stored.Entries = append(n.stored.Entries, s.Entries...)
-}
-
 // sync ends the save under way.
 func (n *node) sync() {
 	if n.replica == nil || n.pending == nil {
@@ -163,7 +146,7 @@
 	}
 	s := *n.pending
 	n.pending = nil
-	n.persist(s)
+	n.stored = n.stored.Apply(s)
 	n.replica.Synced(s.Number)
 	n.replica.Flush()
 }
--- a/core/command/hsquorum/config.go
+++ b/core/command/hsquorum/config.go
@@ -1,6 +1,7 @@
 package hsquorum
 
 import (
+	"slices"
 	"time"
 
 	"hyssopseam/core/hsid"
@@ -130,3 +131,22 @@
 	Snapshot Snapshot
 	Entries  []hsstate.Entry
 }
+
+// Apply returns what is stored once a save is on the disk, for storages that keep it in memory.
+func (s Stored) Apply(save Save) Stored {
+	s.Hard = save.Hard
+	if save.Snapshot != nil {
+		s.Snapshot = *save.Snapshot
+		s.Entries = slices.Clone(save.Entries)
+		return s
+	}
+	if len(save.Entries) == 0 {
+		return s
+	}
+	keep := slices.IndexFunc(s.Entries, func(e hsstate.Entry) bool { return e.Index >= save.Entries[0].Index })
+	if keep >= 0 {
+		s.Entries = s.Entries[:keep:keep]
+	}
+	s.Entries = append(s.Entries, save.Entries...)
+	return s
+}
--- a/internal/play/control.go
+++ b/internal/play/control.go
@@ -1,7 +1,6 @@
 package play
 
 import (
-	"slices"
 	"time"
 
 	"hyssopseam/core/command/hscontrol"
@@ -83,7 +82,7 @@
 		return
 	}
 	if n.pending != nil && written {
-		n.persist(*n.pending)
+		n.stored = n.stored.Apply(*n.pending)
 	}
 	n.pending = nil
 	n.control = nil
@@ -103,29 +102,12 @@
 			return
 		}
 		n.pending = nil
-		n.persist(s)
+		n.stored = n.stored.Apply(s)
 		n.control.Synced(s.Number)
 		n.flush()
 	})
 }
 
-func (n *Control) persist(s hsquorum.Save) {
-	n.stored.Hard = s.Hard
-	if s.Snapshot != nil {
-		n.stored.Snapshot = *s.Snapshot
-		n.stored.Entries = slices.Clone(s.Entries)
-		return
-	}
-	if len(s.Entries) == 0 {
-		return
-	}
-	keep := slices.IndexFunc(n.stored.Entries, func(e hsstate.Entry) bool { return e.Index >= s.Entries[0].Index })
-	if keep >= 0 {
-		n.stored.Entries = n.stored.Entries[:keep:keep]
-	}
-	n.stored.Entries = append(n.stored.Entries, s.Entries...)
-}
-
 func (n *Control) receive(from hsstate.Peer, m hsmessage.Message) {
 	if n.control == nil {
 		return
--- /dev/null
+++ b/io/hslink/links_test.go
@@ -0,0 +1,118 @@
+package hslink_test
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"hyssopseam/core/hsid"
+	"hyssopseam/core/hsmessage"
+	"hyssopseam/core/hsstate"
+	"hyssopseam/internal/faultproxy"
+	"hyssopseam/io/hslink"
+	"hyssopseam/io/hslog"
+)
+
+const limit = 30 * time.Second
+
+// listen starts links that pass on what they receive.
+func listen(t *testing.T, c hslink.Config) (*hslink.Links, chan hsmessage.Message) {
+	t.Helper()
+	got := make(chan hsmessage.Message, 100)
+	l := hslink.New(c, hslog.Discard(), func(_ hsstate.Peer, m hsmessage.Message) { got <- m })
+	if err := l.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	return l, got
+}
+
+// deliver sends until the other side has received.
+func deliver(t *testing.T, l *hslink.Links, to hsstate.Peer, got chan hsmessage.Message) {
+	t.Helper()
+	for began := time.Now(); time.Since(began) < limit; {
+		l.Send(to, hsmessage.Renew{Instance: "x"})
+		select {
+		case <-got:
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	t.Fatal("got no message, want one")
+}
+
+func config(instance hsid.InstanceID, address hsstate.Peer, role hsmessage.Role) hslink.Config {
+	return hslink.Config{Instance: instance, Roles: []hsmessage.Role{role}, Address: address, Heartbeat: 100 * time.Millisecond}
+}
+
+// TestHostilePeers sends bytes that break the protocol: the connection is closed, and others go on.
+func TestHostilePeers(t *testing.T) {
+	const address = "127.150.0.1:7100"
+	_, got := listen(t, config("server", address, hsmessage.RoleControl))
+	tables := []struct {
+		name  string
+		bytes []byte
+	}{
+		{"garbage", []byte("GET / HTTP/1.1\r\n\r\n")},
+		{"oversized frame", []byte{0xff, 0xff, 0xff, 0xff, 1, 2, 3}},
+		{"hello of another program", append([]byte{0, 0, 0, 5}, "hello"...)},
+		{"empty hello", []byte{0, 0, 0, 0}},
+		{"nothing", nil},
+	}
+	for _, tt := range tables {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Write(tt.bytes); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.SetReadDeadline(time.Now().Add(limit)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, c); err != nil {
+			if e, ok := err.(net.Error); ok && e.Timeout() {
+				t.Errorf("%s: got an open connection, want it closed", tt.name)
+			}
+		}
+		_ = c.Close()
+	}
+	client, _ := listen(t, config("client", "", hsmessage.RoleAgent))
+	deliver(t, client, address, got)
+}
+
+// TestRoleCheck dials a peer that doesn't hold the control role.
+func TestRoleCheck(t *testing.T) {
+	const address = "127.150.0.2:7100"
+	_, got := listen(t, config("other", address, hsmessage.RoleAgent))
+	client, _ := listen(t, config("client", "", hsmessage.RoleAgent))
+	for range 20 {
+		client.Send(address, hsmessage.Renew{})
+		time.Sleep(10 * time.Millisecond)
+	}
+	if len(got) != 0 {
+		t.Errorf("got %d messages at a peer without the control role, want none", len(got))
+	}
+}
+
+// TestSilentConnection makes the open connection silent for good: it is replaced by a new one.
+func TestSilentConnection(t *testing.T) {
+	const address, proxied = "127.150.0.3:7100", "127.150.0.4:7100"
+	_, got := listen(t, config("server", address, hsmessage.RoleControl))
+	p, err := faultproxy.Start(proxied, address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	client, _ := listen(t, config("client", "", hsmessage.RoleAgent))
+	deliver(t, client, proxied, got)
+	p.Silence()
+	for len(got) > 0 {
+		<-got
+	}
+	deliver(t, client, proxied, got)
+	if n := client.Counters.Replaced.Load(); n == 0 {
+		t.Errorf("got %d replaced connections, want at least 1", n)
+	}
+}
