--- a/core/command/hsrule/parse.go
+++ b/core/command/hsrule/parse.go
@@ -1,6 +1,7 @@
 package hsrule
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -57,6 +58,9 @@
 		p.line = 1
 		p.fault(1, "the file has no rules; it starts with: number N")
 	}
+	slices.SortStableFunc(p.faults, func(a, b Fault) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
 	return p.set, p.faults
 }
 
--- a/core/command/hsrule/rule_test.go
+++ b/core/command/hsrule/rule_test.go
@@ -27,7 +27,7 @@
 		{"no comment", "number 1\nonce job=a\n", []string{"2:11"}},
 		{"empty comment", "number 1\nonce job=a #  \n", []string{"2:15"}},
 		{"unknown word", "number 1\nallow job=a # x\n", []string{"2:1"}},
-		{"unknown key", "number 1\nonce task=a # x\n", []string{"2:6", "2:1"}},
+		{"unknown key", "number 1\nonce task=a # x\n", []string{"2:1", "2:6"}},
 		{"duplicate", "number 1\nonce job=a # x\nonce job=a # y\n", []string{"3:1"}},
 		{"same key twice", "number 1\nonce job=a job=b # x\n", []string{"2:12"}},
 		{"bad shape", "number 1\nguarantee workspace=w shape=4 within=1s # x\n", []string{"2:29"}},
@@ -35,7 +35,7 @@
 		{"bad name", "number 1\nonce job=a/b # x\n", []string{"2:10"}},
 		{"bad quota", "number 1\nquota workspace=w accelerators=-1 # x\n", []string{"2:32"}},
 		{"bad text", "number 1\nonce job=\xff # x\n", []string{"2:1"}},
-		{"columns count characters", "number 1\nonce  jöb=a # x\n", []string{"2:7", "2:1"}},
+		{"columns count characters", "number 1\nonce  jöb=a # x\n", []string{"2:1", "2:7"}},
 		{"long line", "number 1\nonce job=a # " + strings.Repeat("x", 600) + "\n", []string{"2:513"}},
 		{"many", "number x\nfoo # a\nonce # b\n", []string{"1:8", "2:1", "3:1"}},
 	}
--- a/test/e2e/bed_test.go
+++ b/test/e2e/bed_test.go
@@ -248,6 +248,22 @@
 	}
 }
 
+// deafen cuts only what control replica i hears, and mute only what the others hear from it.
+func (b *bed) deafen(i int) { b.cutOneWay(i, faultproxy.ToServer, faultproxy.ToClient) }
+
+func (b *bed) mute(i int) { b.cutOneWay(i, faultproxy.ToClient, faultproxy.ToServer) }
+
+// cutOneWay cuts a direction on connections that others made to replica i, and one on those that it made.
+func (b *bed) cutOneWay(i int, accepted, dialled faultproxy.Direction) {
+	for name, p := range b.proxies {
+		if name == fmt.Sprintf("control-%d", i) {
+			p.Cut(accepted)
+			continue
+		}
+		p.CutFrom(fmt.Sprintf("%s.%d", b.network, i), dialled)
+	}
+}
+
 func (b *bed) heal() {
 	for _, p := range b.proxies {
 		p.Heal()
--- a/test/e2e/control_test.go
+++ b/test/e2e/control_test.go
@@ -53,6 +53,18 @@
 			b.heal()
 			return 6
 		}},
+		{"leader hears nobody, then is healed", func(b *bed) int {
+			b.deafen(b.leader(entry1))
+			b.accepted(entry1, 2)
+			b.heal()
+			return 2
+		}},
+		{"nobody hears the leader, then it is healed", func(b *bed) int {
+			b.mute(b.leader(entry1))
+			b.accepted(entry2, 2)
+			b.heal()
+			return 2
+		}},
 		{"every replica killed at once after an acknowledgement", func(b *bed) int {
 			b.accepted(entry1, 2)
 			for i := 1; i <= 3; i++ {
@@ -68,10 +80,12 @@
 			b.accepted(entry1, 2)
 			return 2
 		}},
-		{"connections of all replicas are dropped, delayed and dropped again", func(b *bed) int {
+		{"connections of all replicas are dropped, delayed differently, so that messages cross, and dropped again", func(b *bed) int {
+			delay := time.Millisecond
 			for _, p := range b.proxies {
 				p.Drop()
-				p.Delay(5 * time.Millisecond)
+				p.Delay(delay)
+				delay *= 6
 			}
 			b.accepted(entry2, 2)
 			for _, p := range b.proxies {
--- a/test/e2e/path_test.go
+++ b/test/e2e/path_test.go
@@ -1,9 +1,13 @@
 package e2e
 
 import (
+	"bufio"
+	"net"
+	"net/http"
 	"os/exec"
 	"strings"
 	"testing"
+	"time"
 
 	"hyssopseam/internal/standin"
 )
@@ -115,6 +119,37 @@
 	}
 }
 
+// TestSlowSender sends half of a body and then nothing: the request is refused in time, and nothing changes.
+func TestSlowSender(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, 104, 1)
+	b.control(1, true)
+	b.entry(1)
+	b.await("entry ready", func() bool { return b.ready(entry1) })
+	c, err := net.Dial("tcp", b.address(entry1, 8100))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := c.Write([]byte("POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: 100\r\n\r\n{\"workspace\"")); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("got %v, want an answer", err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusRequestTimeout {
+		t.Errorf("got %s, want 408", response.Status)
+	}
+	if a := b.ask(entry1, "GET", "/v1/jobs", "", ""); string(a.body) != "[]" {
+		t.Errorf("got jobs %s, want none", a.body)
+	}
+}
+
 // TestLinkage checks that the daemon is linked to the C library.
 func TestLinkage(t *testing.T) {
 	t.Parallel()
