hslink: TLS works between processes; a lost connection turns to another replica at once

Cause: a dialled TLS connection named no server, so the handshake always failed and no process with TLS settings ever got a lease; nothing had run it. Found by the first test that did (io/hsapp TestTLS). And: after the leader's death entries waited for a silence although the connection had ended at once. Change: the server's IP number is the name that its certificate must hold; the link tells the roles of a lost peer.

--- a/core/command/hsagent/report.go
+++ b/core/command/hsagent/report.go
@@ -5,6 +5,7 @@
 
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
+	"hyssopseam/core/hsstate"
 )
 
 // Wake acts on the passing of time.
@@ -121,6 +122,14 @@
 	}
 }
 
+// Lost takes the news that a control replica can't be reached: if it is the one that is asked, another is
+// tried.
+func (a *Agent) Lost(peer hsstate.Peer) {
+	if a.holder.Lost(peer) {
+		a.reportAt = a.clock.Now().Add(redirectPause)
+	}
+}
+
 // flush sends a report if something changed.
 func (a *Agent) flush() {
 	if !a.changed {
--- a/core/command/hsentry/entry.go
+++ b/core/command/hsentry/entry.go
@@ -239,6 +239,20 @@
 	e.ports.Answerer.Answer(m)
 }
 
+// Lost takes the news that a control replica can't be reached: if it is the one that is asked, another is
+// tried.
+func (e *Entry) Lost(peer hsstate.Peer) {
+	if !e.holder.Lost(peer) {
+		return
+	}
+	soon := e.ports.Clock.Now().Add(redirectPause)
+	e.renewAt = soon
+	for _, p := range e.pending {
+		p.resend = soon
+		p.pause = firstResend
+	}
+}
+
 // resendAll has every request sent to a leader that was just found.
 func (e *Entry) resendAll() {
 	now := e.ports.Clock.Now()
--- a/core/command/hsholder/holder.go
+++ b/core/command/hsholder/holder.go
@@ -152,6 +152,15 @@
 	return len(h.config.Controls) > 1
 }
 
+// Lost takes the news that a control replica can't be reached. It reports whether the target changed.
+func (h *Holder) Lost(peer hsstate.Peer) bool {
+	if peer != h.Target() {
+		return false
+	}
+	h.next()
+	return len(h.config.Controls) > 1
+}
+
 func (h *Holder) next() {
 	h.leader = ""
 	h.control++
--- a/core/hsfleet/claim.go
+++ b/core/hsfleet/claim.go
@@ -45,8 +45,5 @@
 // Stop is the reason for which the leader has a running job stopped.
 type Stop string
 
-// The reasons to stop a job.
-const (
-	StopPreempted Stop = "preempted"
-	StopDrain     Stop = "the worker is leaving"
-)
+// StopPreempted: the job gives way to another.
+const StopPreempted Stop = "preempted"
--- a/io/hsapp/role.go
+++ b/io/hsapp/role.go
@@ -45,7 +45,7 @@
 }
 
 func newLinks(s *hssettings.Settings, log *slog.Logger, p *hsprocess.Process) (*hslink.Links, error) {
-	c := hslink.Config{Instance: s.Instance, Roles: s.Roles, Address: cmp.Or(s.Listen, s.Link)}
+	c := hslink.Config{Instance: s.Instance, Roles: s.Roles, Address: cmp.Or(s.Listen, s.Link), Lost: p.Lost}
 	if own, err := netip.ParseAddrPort(s.HTTP); err == nil {
 		c.Source = own.Addr().AsSlice()
 	}
--- a/io/hslink/links.go
+++ b/io/hslink/links.go
@@ -63,6 +63,8 @@
 	// ServerTLS and ClientTLS protect the connections; nil for none.
 	ServerTLS *tls.Config
 	ClientTLS *tls.Config
+	// Lost is told when a dialled peer can't be reached or its connection ended; nil for nobody.
+	Lost func(peer hsstate.Peer)
 }
 
 // Receive takes a message. It may block, which holds back the peer it came from.
@@ -244,6 +246,9 @@
 		if err := l.dialOnce(to, d); err != nil {
 			l.log.Debug("connection ended", "peer", to, "error", err)
 			l.drain(d)
+			if l.config.Lost != nil && l.context.Err() == nil {
+				l.config.Lost(to)
+			}
 		}
 		if time.Since(began) > maxRedial {
 			pause = firstRedial
@@ -287,7 +292,9 @@
 		return fmt.Errorf("hslink: %w", err)
 	}
 	if l.config.ClientTLS != nil {
-		n = tls.Client(n, l.config.ClientTLS)
+		c := l.config.ClientTLS.Clone()
+		c.ServerName, _, _ = net.SplitHostPort(string(to))
+		n = tls.Client(n, c)
 	}
 	c := newConn(n, 0)
 	c.out = d.out
--- a/io/hsprocess/input.go
+++ b/io/hsprocess/input.go
@@ -65,6 +65,22 @@
 	}
 }
 
+// Lost takes the news that a control replica can't be reached.
+func (p *Process) Lost(peer hsstate.Peer) { p.put(lost{peer: peer}) }
+
+type lost struct {
+	peer hsstate.Peer
+}
+
+func (in lost) apply(p *Process) {
+	if p.entry != nil {
+		p.entry.Lost(in.peer)
+	}
+	if p.agent != nil {
+		p.agent.Lost(in.peer)
+	}
+}
+
 // Synced takes the end of a save. After an error the process fails.
 func (p *Process) Synced(n hsid.Sequence, err error) {
 	if err != nil {
