hscodec: a peer can't make the decoder take memory for what it doesn't send

Cause: the MessagePack library takes memory for as many elements as an array says to have. A message of 25 bytes that says 3.7 billion ended the process for lack of memory. Change: lengths and nesting are checked against the bytes that follow before anything is decoded.

--- a/core/hsfleet/claim.go
+++ b/core/hsfleet/claim.go
@@ -45,5 +45,5 @@
 // Stop is the reason for which the leader has a running job stopped.
 type Stop string
 
-// StopPreempted: the job gives way to another.
+// StopPreempted is the reason of a job that gives way to another.
 const StopPreempted Stop = "preempted"
--- a/io/hscodec/codec.go
+++ b/io/hscodec/codec.go
@@ -112,6 +112,15 @@
 	return v, nil
 }
 
+// UnmarshalPeer is Unmarshal for bytes that come from a peer; it checks their lengths first.
+func UnmarshalPeer[T any](data []byte) (T, error) {
+	if err := checkLengths(data); err != nil {
+		var none T
+		return none, err
+	}
+	return Unmarshal[T](data)
+}
+
 // EncodeMessage writes a message with its type.
 func EncodeMessage(m hsmessage.Message) ([]byte, error) {
 	k, ok := byType[reflect.TypeOf(m)]
@@ -126,7 +135,8 @@
 	return b.Bytes(), nil
 }
 
-// DecodeMessage reads a message. Bytes from a broken or hostile peer give an error, never a panic.
+// DecodeMessage reads a message. Bytes from a broken or hostile peer give an error, never a panic, and take no
+// more memory than a message within the bounds.
 func DecodeMessage(data []byte) (m hsmessage.Message, err error) {
 	if len(data) == 0 {
 		return nil, fmt.Errorf("%w: it is empty", ErrMessage)
@@ -135,6 +145,9 @@
 	if !ok {
 		return nil, fmt.Errorf("%w: kind %d is unknown", ErrMessage, data[0])
 	}
+	if err := checkLengths(data[1:]); err != nil {
+		return nil, err
+	}
 	defer func() {
 		if r := recover(); r != nil {
 			m, err = nil, fmt.Errorf("%w: %v", ErrMessage, r)
--- a/io/hslink/hello.go
+++ b/io/hslink/hello.go
@@ -28,7 +28,7 @@
 
 // checkHello reads the first frame of a peer. A dialled peer must hold the control role.
 func checkHello(payload []byte, dialled bool) (hello, error) {
-	h, err := hscodec.Unmarshal[hello](payload)
+	h, err := hscodec.UnmarshalPeer[hello](payload)
 	switch {
 	case err != nil:
 		return h, fmt.Errorf("%w: the first frame is no hello: %w", ErrFrame, err)
