hsentry: a keyed submission that isn't passed on is unknown, not notRun

Cause: read while looking for other ways to a false notRun. An entry without a lease, or with too many inputs, said notRun about a key that another entry may have had accepted; and the leader could refuse a resend while the first submission was in the log and not applied yet. Change: such an entry answers unknown for submissions with a key; the leader doesn't refuse what is in its log. Before: no test.

--- a/core/command/hscontrol/applied.go
+++ b/core/command/hscontrol/applied.go
@@ -14,6 +14,7 @@
 	case x.Rules != nil:
 		c.appliedRules(r.Rules)
 	case x.Submit != nil:
+		c.settleSubmission(x.Submit.ID)
 		c.appliedSubmit(r.Job)
 	case x.Start != nil:
 		c.appliedStart(x.Start)
@@ -67,6 +68,12 @@
 	c.ports.Sender.Send(w.Peer, lease)
 }
 
+func (c *Control) settleSubmission(id hsid.JobID) {
+	if c.lead.submitting[id]--; c.lead.submitting[id] <= 0 {
+		delete(c.lead.submitting, id)
+	}
+}
+
 func (c *Control) appliedSubmit(r *hsstate.JobResult) {
 	if r.Verdict == hsstate.JobRefused {
 		c.ports.Observer.Refused("admission")
--- a/core/command/hscontrol/leadership.go
+++ b/core/command/hscontrol/leadership.go
@@ -41,7 +41,9 @@
 	ending  map[hsid.JobID]bool
 	tickets map[hsid.JobID][]ticket
 
-	replies     map[hsid.LogIndex]awaited
+	replies map[hsid.LogIndex]awaited
+	// submitting counts the submissions of each job that are in the log and not applied yet.
+	submitting  map[hsid.JobID]int
 	jobWaiters  map[hsid.JobID][]waiter
 	ruleWaiters []waiter
 
@@ -91,6 +93,7 @@
 		ending:     map[hsid.JobID]bool{},
 		tickets:    map[hsid.JobID][]ticket{},
 		replies:    map[hsid.LogIndex]awaited{},
+		submitting: map[hsid.JobID]int{},
 		jobWaiters: map[hsid.JobID][]waiter{},
 		dirty:      map[hsid.InstanceID]*hsmessage.Lease{},
 		passAt:     now,
--- a/core/command/hscontrol/request.go
+++ b/core/command/hscontrol/request.go
@@ -54,7 +54,8 @@
 	}
 }
 
-// submit accepts a job unless it is refused at once. A job that exists is found again first.
+// submit accepts a job unless it is refused at once. A job that exists, or is in the log already, isn't
+// refused: an earlier request with the same key may be about to run it.
 func (c *Control) submit(a awaited, s *hsstate.SubmitJob) {
 	if c.state.Rules.InForce.IsOnce(s.Spec.Kind) && s.Spec.Key == "" {
 		c.reply(a, hsmessage.Reply{
@@ -63,7 +64,7 @@
 		})
 		return
 	}
-	if c.state.Jobs[s.ID] == nil {
+	if c.state.Jobs[s.ID] == nil && c.lead.submitting[s.ID] == 0 {
 		if reason, retry := c.refusal(s); reason != "" {
 			result := &hsstate.JobResult{Verdict: hsstate.JobRefused, ID: s.ID, Reason: reason}
 			result.Rules = c.state.Rules.InForce.Number
@@ -76,7 +77,10 @@
 			return
 		}
 	}
-	c.proposeFor(a, hsstate.Command{Submit: s})
+	if index, ok := c.propose(hsstate.Command{Submit: s}); ok {
+		c.lead.replies[index] = a
+		c.lead.submitting[s.ID]++
+	}
 }
 
 // refusal returns why a job is refused before it is accepted, and when a later try may succeed.
--- a/core/command/hsentry/entry.go
+++ b/core/command/hsentry/entry.go
@@ -138,12 +138,7 @@
 	e.requests++
 	m.ID = hsid.RequestID(fmt.Sprintf("%s.%016x.%d", e.config.Instance, uint64(e.config.Incarnation), e.requests))
 	if reason := e.refusal(&m); reason != "" {
-		e.ports.Answerer.Answer(hsmessage.Reply{
-			ID:         m.ID,
-			Status:     hsmessage.StatusRefused,
-			Reason:     reason,
-			RetryAfter: refusedRetry,
-		})
+		e.ports.Answerer.Answer(Refuse(&m, reason))
 		return m.ID
 	}
 	p := &pending{request: m, until: now.Add(timeout), pause: firstResend}
@@ -152,6 +147,17 @@
 	return m.ID
 }
 
+// Refuse returns the answer to a request that isn't passed on to control. A submission with a key is unknown
+// rather than not run: an earlier one with the same key may have been accepted.
+func Refuse(m *hsmessage.Request, reason string) hsmessage.Reply {
+	r := hsmessage.Reply{ID: m.ID, Status: hsmessage.StatusRefused, Reason: reason, RetryAfter: refusedRetry}
+	if m.Submit != nil && m.Submit.Spec.Key != "" {
+		r.Status = hsmessage.StatusUnknown
+		r.Reason += "; an earlier request with the same key may have been accepted"
+	}
+	return r
+}
+
 func (e *Entry) refusal(m *hsmessage.Request) string {
 	switch {
 	case len(e.pending) >= MaxPending:
--- /dev/null
+++ b/core/command/hsentry/entry_test.go
@@ -0,0 +1,70 @@
+package hsentry_test
+
+import (
+	"testing"
+	"time"
+
+	"hyssopseam/core/command/hsentry"
+	"hyssopseam/core/hsid"
+	"hyssopseam/core/hsmessage"
+	"hyssopseam/core/hsstate"
+)
+
+// ports is a clock that is set by hand, and takes what an entry puts out.
+type ports struct {
+	now     time.Time
+	sent    []hsmessage.Message
+	answers []hsmessage.Reply
+}
+
+// Now returns the time that was set.
+func (p *ports) Now() time.Time { return p.now }
+
+// Int64N returns zero.
+func (p *ports) Int64N(int64) int64 { return 0 }
+
+// Send takes a message.
+func (p *ports) Send(_ hsstate.Peer, m hsmessage.Message) { p.sent = append(p.sent, m) }
+
+// Answer takes an answer.
+func (p *ports) Answer(r hsmessage.Reply) { p.answers = append(p.answers, r) }
+
+// TestSubmit checks what a caller is told, with and without a rules lease.
+func TestSubmit(t *testing.T) {
+	tables := []struct {
+		name  string
+		lease bool
+		key   hsid.IdempotencyKey
+		reply hsmessage.Status
+		after time.Duration
+		want  hsmessage.Status
+	}{
+		{"no lease", false, "", "", 0, hsmessage.StatusRefused},
+		{"no lease, with a key", false, "k", "", 0, hsmessage.StatusUnknown},
+		{"answered", true, "k", hsmessage.StatusDone, 0, hsmessage.StatusDone},
+		{"refused by the leader", true, "k", hsmessage.StatusRefused, 0, hsmessage.StatusRefused},
+		{"no answer in time", true, "", "", time.Minute, hsmessage.StatusUnknown},
+	}
+	for _, tt := range tables {
+		p := &ports{now: time.Unix(10, 0)}
+		e := hsentry.New(hsentry.Config{Instance: "e", Controls: []hsstate.Peer{"c"}}, hsentry.Ports{Clock: p, Random: p, Sender: p, Answerer: p})
+		e.Wake()
+		if tt.lease {
+			renew := p.sent[0].(hsmessage.Renew)
+			e.Receive("c", hsmessage.Lease{Term: 1, Sequence: renew.Sequence, For: time.Second, Number: 1, Rules: &hsstate.RuleSet{Number: 1}})
+		}
+		id := e.Submit(hsstate.Spec{Workspace: "w", Key: tt.key}, 10*time.Second)
+		if tt.reply != "" {
+			e.Receive("c", hsmessage.Reply{ID: id, Status: tt.reply})
+			e.Receive("c", hsmessage.Reply{ID: id, Status: tt.reply})
+		}
+		p.now = p.now.Add(tt.after)
+		e.Wake()
+		if len(p.answers) != 1 || p.answers[0].Status != tt.want || p.answers[0].ID != id {
+			t.Errorf("%s: got answers %+v, want one %s", tt.name, p.answers, tt.want)
+		}
+		if tt.reply != "" && e.Strays() != 1 {
+			t.Errorf("%s: got %d stray answers, want the second one", tt.name, e.Strays())
+		}
+	}
+}
--- a/io/hsprocess/process.go
+++ b/io/hsprocess/process.go
@@ -286,11 +286,10 @@
 	answer := make(chan hsmessage.Reply, 1)
 	a.answer = answer
 	if !p.tryPut(a) {
-		return hsmessage.Reply{
-			Status:     hsmessage.StatusRefused,
-			Reason:     "the process has too many inputs waiting",
-			RetryAfter: time.Second,
+		if a.spec != nil {
+			a.request.Submit = &hsstate.SubmitJob{Spec: *a.spec}
 		}
+		return hsentry.Refuse(&a.request, "the process has too many inputs waiting")
 	}
 	select {
 	case r := <-answer:
