hsagent: no spinning when the run lease is shorter than the hold lease; table test of orders

Cause: with control.runLease below 3 s, an agent without contact asked to be woken at the end of the run lease, but acted only after the hold lease, so it was woken without a pause in between. Found by reading for threads that spin. Before: NextWake in the past from the end of the run lease on. After: each lease is acted on at its own end; 17 sequences of orders in hsagent TestOrders, with the next wake checked. Conclusion: no other NextWake was found that a Wake leaves in the past.

--- a/core/command/hsagent/report.go
+++ b/core/command/hsagent/report.go
@@ -108,13 +108,10 @@
 // longer than the lease of each.
 func (a *Agent) expireLeases(now time.Time) {
 	silent := now.Sub(a.holder.Contact())
-	if silent < a.config.Hold {
-		return
-	}
 	for _, g := range a.grants() {
 		t := a.tasks[g]
 		switch {
-		case t.report.Phase == hsmessage.TaskHeld:
+		case t.report.Phase == hsmessage.TaskHeld && silent >= a.config.Hold:
 			a.forget(g, t)
 		case t.report.Phase == hsmessage.TaskRunning && !t.once && a.runFor > 0 && silent >= a.runFor:
 			a.stop(g, t)
