hscontrol, hshome: one search for the cheapest rack, and other logic that stood twice

Cause: a reading of the whole change. The search for the rack that costs least stood three times (reclaim, reservation, homes), the union of homes three times, a pass built by hand beside newPass, cmp.Compare written anew twice, and the resending of an entry's requests twice. Change: hsfleet.BestRack; homesWhere; survey, which newPass and the refusal of submissions share; cmp.Compare; one resendAll. Tests are untouched. Left as it is: hsplacement.Place has a like search, but sums floating-point costs in another order, which could change which of two equal places wins.

--- a/core/command/hsbreaker/breaker.go
+++ b/core/command/hsbreaker/breaker.go
@@ -2,8 +2,8 @@
 //
 // Each worker has a breaker. It is closed while jobs succeed; after Threshold jobs in a row failed it
 // opens for a pause, which doubles each time up to MaxPause. After the pause one job is the probe, one
-// that may run again if there is any (see ProbeOverdue): when it succeeds the breaker closes, when it fails the breaker opens for longer,
-// and when it is cancelled or stopped it opens for the same pause, so that a cancelled probe never
+// that may run again if there is any (see ProbeOverdue): when it succeeds the breaker closes, when it
+// fails the breaker opens for longer, and when it is cancelled or stopped it opens for the same pause, so that a cancelled probe never
 // blocks the next. Tickets carry a generation; an outcome of an older generation changes nothing.
 // Generations and released probes follow the lesson "Model circuit recovery and release cancelled
 // probes"; docs/RELATED.md says what was measured.
--- a/core/command/hscontrol/claim.go
+++ b/core/command/hscontrol/claim.go
@@ -67,13 +67,7 @@
 	if needs, ok := p.needs[same]; ok {
 		return needs
 	}
-	foreign := make([]hsfleet.Mask, len(p.layout.Slots))
-	for i := range p.homes {
-		if p.homes[i].guarantee.Workspace != j.Spec.Workspace {
-			foreign = union(foreign, p.homes[i].masks)
-		}
-	}
-	needs := !p.layout.CanEver(&j.Spec, foreign)
+	needs := !p.layout.CanEver(&j.Spec, p.foreignHomes(j))
 	p.needs[same] = needs
 	return needs
 }
--- a/core/command/hscontrol/request.go
+++ b/core/command/hscontrol/request.go
@@ -88,16 +88,15 @@
 	if !c.learned() {
 		return "", 0
 	}
-	l := c.layout()
-	job := &hsstate.Job{ID: s.ID, Spec: s.Spec, Index: c.replica.Last() + 1, Accepted: c.replica.Clock()}
+	p := c.survey()
+	l := p.layout
+	job := &hsstate.Job{ID: s.ID, Spec: s.Spec, Index: c.replica.Last() + 1, Accepted: p.clock}
 	job.Once = c.state.Rules.InForce.IsOnce(s.Spec.Kind)
 	if !l.CanEver(&s.Spec, nil) {
 		c.ports.Observer.Refused("neverFits")
 		return fmt.Sprintf("no announced worker or rack can ever hold %s with %d millicores and %d bytes of memory a worker",
 			s.Spec.Shape, s.Spec.Cores, s.Spec.Memory), 0
 	}
-	p := &pass{c: c, clock: job.Accepted, rules: &c.state.Rules.InForce, layout: l, needs: map[sameness]bool{}}
-	p.markHomes()
 	if !l.CanEver(&s.Spec, p.homesClosedTo(job)) {
 		c.ports.Observer.Refused("neverOutsideHomes")
 		return neverOutsideHomes, 0
--- a/core/command/hscontrol/reserve.go
+++ b/core/command/hscontrol/reserve.go
@@ -1,6 +1,7 @@
 package hscontrol
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -15,40 +16,26 @@
 	if p.c.config.Off.Reservations || !p.c.lead.queue.Aged(j, p.clock) || !p.mayReserve(j) {
 		return nil
 	}
-	var best []draining
-	var bestReady time.Duration
 	closed := p.closedFor(j)
-	for i := range p.layout.Racks {
-		var parts []draining
-		for _, s := range p.layout.Racks[i].Slots {
-			if d, ok := p.drainingOn(j, s, closed[s.Index]); ok {
-				parts = append(parts, d)
-			}
-		}
-		if hsid.WorkerCount(len(parts)) < j.Spec.Shape.Workers {
-			continue
-		}
-		slices.SortStableFunc(parts, func(a, b draining) int { return int(a.ready - b.ready) })
-		parts = parts[:j.Spec.Shape.Workers]
-		ready := parts[len(parts)-1].ready
-		if best == nil || ready < bestReady {
-			best = parts
-			bestReady = ready
-		}
-	}
+	best, _ := hsfleet.BestRack(p.layout, j.Spec.Shape.Workers,
+		func(s *hsfleet.Slot) (draining, bool) { return p.drainingOn(j, s, closed[s.Index]) },
+		func(a, b draining) int { return cmp.Compare(a.ready, b.ready) }, lastReady)
 	if best == nil {
 		return nil
 	}
-	claim := &hsfleet.Claim{Job: j.ID, Kind: hsfleet.Reservation, Ready: bestReady}
+	claim := &hsfleet.Claim{Job: j.ID, Kind: hsfleet.Reservation, Ready: lastReady(best)}
 	for _, d := range best {
 		claim.Parts = append(claim.Parts, d.part)
 	}
 	return claim
 }
 
+// lastReady returns when all of a list, which is in the order of times, is free.
+func lastReady(parts []draining) time.Duration { return parts[len(parts)-1].ready }
+
 // closedFor returns what a job can't reserve: claims of others and homes that it may not borrow.
 func (p *pass) closedFor(j *hsstate.Job) []hsfleet.Mask {
-	return union(p.claimed(j.ID, false), p.homesClosedTo(j))
+	return union(p.claimed(j), p.homesClosedTo(j))
 }
 
 // mayReserve reports whether a job's reservation would stay within the share that may be reserved.
@@ -116,6 +103,6 @@
 			}
 		}
 	}
-	slices.SortStableFunc(ends, func(a, b ending) int { return int(a.at - b.at) })
+	slices.SortStableFunc(ends, func(a, b ending) int { return cmp.Compare(a.at, b.at) })
 	return ends
 }
--- a/core/command/hscontrol/schedule.go
+++ b/core/command/hscontrol/schedule.go
@@ -73,19 +73,24 @@
 }
 
 func (c *Control) newPass() *pass {
-	layout := c.layout()
+	p := c.survey()
+	p.walk = c.lead.queue.Walk(p.clock, c.shares(p.layout))
+	p.failed = map[sameness]hsfleet.Note{}
+	p.unclaimed = map[sameness]bool{}
+	p.markProbes()
+	return p
+}
+
+// survey returns a pass that visits nothing; it answers what could be placed where.
+func (c *Control) survey() *pass {
 	p := &pass{
-		c:         c,
-		now:       c.ports.Clock.Now(),
-		clock:     c.replica.Clock(),
-		rules:     &c.state.Rules.InForce,
-		layout:    layout,
-		walk:      c.lead.queue.Walk(c.replica.Clock(), c.shares(layout)),
-		failed:    map[sameness]hsfleet.Note{},
-		unclaimed: map[sameness]bool{},
-		needs:     map[sameness]bool{},
+		c:      c,
+		now:    c.ports.Clock.Now(),
+		clock:  c.replica.Clock(),
+		rules:  &c.state.Rules.InForce,
+		layout: c.layout(),
+		needs:  map[sameness]bool{},
 	}
-	p.markProbes()
 	p.markHomes()
 	return p
 }
@@ -187,14 +192,25 @@
 
 // homesClosedTo returns the homes of other workspaces that a job may not borrow.
 func (p *pass) homesClosedTo(j *hsstate.Job) []hsfleet.Mask {
-	closed := make([]hsfleet.Mask, len(p.layout.Slots))
+	return p.homesWhere(func(g *hsstate.Guarantee) bool {
+		return g.Workspace != j.Spec.Workspace && !p.mayBorrow(j, g)
+	})
+}
+
+// foreignHomes returns all homes of other workspaces.
+func (p *pass) foreignHomes(j *hsstate.Job) []hsfleet.Mask {
+	return p.homesWhere(func(g *hsstate.Guarantee) bool { return g.Workspace != j.Spec.Workspace })
+}
+
+// homesWhere returns the homes of the guarantees that are meant.
+func (p *pass) homesWhere(meant func(g *hsstate.Guarantee) bool) []hsfleet.Mask {
+	masks := make([]hsfleet.Mask, len(p.layout.Slots))
 	for i := range p.homes {
-		h := &p.homes[i]
-		if h.guarantee.Workspace != j.Spec.Workspace && !p.mayBorrow(j, h.guarantee) {
-			closed = union(closed, h.masks)
+		if meant(p.homes[i].guarantee) {
+			masks = union(masks, p.homes[i].masks)
 		}
 	}
-	return closed
+	return masks
 }
 
 // overdue reports whether a job that may be refused waited longer than its caller asked for.
--- a/core/command/hscontrol/yield.go
+++ b/core/command/hscontrol/yield.go
@@ -1,6 +1,7 @@
 package hscontrol
 
 import (
+	"cmp"
 	"slices"
 
 	"hyssopseam/core/hsfleet"
@@ -17,36 +18,21 @@
 }
 
 // claimWithin finds the accelerators for a job that throw the least work away, inside the masks (nil for
-// anywhere) and outside other claims, when everything that may give way does.
+// anywhere but on homes of others) and outside other claims, when everything that may give way does.
 func (p *pass) claimWithin(j *hsstate.Job, masks []hsfleet.Mask, give func(v *hsstate.Job) bool) (*hsfleet.Claim, []hsid.JobID) {
-	var best []yield
-	bestLost := 0.0
-	closed := p.claimed(j.ID, masks == nil)
-	for i := range p.layout.Racks {
-		var yields []yield
-		for _, s := range p.layout.Racks[i].Slots {
-			within := s.Worker.All()
-			if masks != nil {
-				within = masks[s.Index]
-			}
-			if y, ok := p.yieldOn(j, s, within&^closed[s.Index], give); ok {
-				yields = append(yields, y)
-			}
-		}
-		if hsid.WorkerCount(len(yields)) < j.Spec.Shape.Workers {
-			continue
-		}
-		slices.SortStableFunc(yields, func(a, b yield) int { return compare(a.lost, b.lost) })
-		yields = yields[:j.Spec.Shape.Workers]
-		lost := 0.0
-		for _, y := range yields {
-			lost += y.lost
-		}
-		if best == nil || lost < bestLost {
-			best = yields
-			bestLost = lost
+	closed := p.claimed(j)
+	if masks == nil {
+		closed = union(closed, p.foreignHomes(j))
+	}
+	offer := func(s *hsfleet.Slot) (yield, bool) {
+		within := s.Worker.All()
+		if masks != nil {
+			within = masks[s.Index]
 		}
+		return p.yieldOn(j, s, within&^closed[s.Index], give)
 	}
+	best, _ := hsfleet.BestRack(p.layout, j.Spec.Shape.Workers, offer,
+		func(a, b yield) int { return cmp.Compare(a.lost, b.lost) }, lostBy)
 	if best == nil {
 		return nil, nil
 	}
@@ -63,40 +49,26 @@
 	return claim, victims
 }
 
-func compare(a, b float64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
+// lostBy sums the work that several yields would throw away.
+func lostBy(yields []yield) float64 {
+	lost := 0.0
+	for _, y := range yields {
+		lost += y.lost
 	}
-	return 0
+	return lost
 }
 
-// claimed returns what is claimed for other jobs, and with homes what is the home of other workspaces.
-func (p *pass) claimed(but hsid.JobID, homes bool) []hsfleet.Mask {
+// claimed returns what is claimed for other jobs.
+func (p *pass) claimed(j *hsstate.Job) []hsfleet.Mask {
 	closed := make([]hsfleet.Mask, len(p.layout.Slots))
 	for id, claim := range p.c.lead.claims {
-		if id == but {
-			continue
-		}
-		closed = p.mark(closed, claim)
-	}
-	for i := range p.homes {
-		if homes && p.homes[i].guarantee.Workspace != p.workspaceOf(but) {
-			closed = union(closed, p.homes[i].masks)
+		if id != j.ID {
+			closed = p.mark(closed, claim)
 		}
 	}
 	return closed
 }
 
-func (p *pass) workspaceOf(id hsid.JobID) hsid.WorkspaceID {
-	if j := p.c.state.Jobs[id]; j != nil {
-		return j.Spec.Workspace
-	}
-	return ""
-}
-
 // yieldOn finds n adjacent accelerators of a worker that are free or held by jobs that may give way.
 func (p *pass) yieldOn(j *hsstate.Job, s *hsfleet.Slot, within hsfleet.Mask, give func(v *hsstate.Job) bool) (yield, bool) {
 	if !s.Usable || s.Probe || within == 0 {
@@ -150,7 +122,7 @@
 			all = append(all, holder{job: v, mask: hsfleet.MaskOf(m.Accelerators), lost: lost})
 		}
 	}
-	slices.SortStableFunc(all, func(a, b holder) int { return compare(a.lost, b.lost) })
+	slices.SortStableFunc(all, func(a, b holder) int { return cmp.Compare(a.lost, b.lost) })
 	return all
 }
 
--- a/core/command/hsentry/entry.go
+++ b/core/command/hsentry/entry.go
@@ -220,7 +220,7 @@
 			e.renewAt = e.ports.Clock.Now()
 		}
 		if e.holder.Leader() != before {
-			e.resendAll()
+			e.resendAll(e.ports.Clock.Now())
 		}
 	case hsmessage.Redirect:
 		if e.holder.Turn(from, m.Leader) {
@@ -251,19 +251,14 @@
 	if !e.holder.Lost(peer) {
 		return
 	}
-	soon := e.ports.Clock.Now().Add(redirectPause)
-	e.renewAt = soon
-	for _, p := range e.pending {
-		p.resend = soon
-		p.pause = firstResend
-	}
+	e.renewAt = e.ports.Clock.Now().Add(redirectPause)
+	e.resendAll(e.renewAt)
 }
 
-// resendAll has every request sent to a leader that was just found.
-func (e *Entry) resendAll() {
-	now := e.ports.Clock.Now()
+// resendAll has every request sent to another replica at a time.
+func (e *Entry) resendAll(at time.Time) {
 	for _, p := range e.pending {
-		p.resend = now
+		p.resend = at
 		p.pause = firstResend
 	}
 }
--- a/core/command/hsholder/holder.go
+++ b/core/command/hsholder/holder.go
@@ -148,8 +148,7 @@
 		h.leader = leader
 		return true
 	}
-	h.next()
-	return len(h.config.Controls) > 1
+	return h.next()
 }
 
 // Lost takes the news that a control replica can't be reached. It reports whether the target changed.
@@ -157,14 +156,15 @@
 	if peer != h.Target() {
 		return false
 	}
-	h.next()
-	return len(h.config.Controls) > 1
+	return h.next()
 }
 
-func (h *Holder) next() {
+// next turns to the next control replica and reports whether there is another one.
+func (h *Holder) next() bool {
 	h.leader = ""
 	h.control++
 	h.askedAt = h.clock.Now()
+	return len(h.config.Controls) > 1
 }
 
 // Check turns to the next control replica when this one stays silent.
--- a/core/command/hsplacement/place.go
+++ b/core/command/hsplacement/place.go
@@ -16,6 +16,7 @@
 package hsplacement
 
 import (
+	"cmp"
 	"slices"
 
 	"hyssopseam/core/hsfleet"
@@ -154,15 +155,7 @@
 	return parts
 }
 
-func compareCost(a, b candidate) int {
-	switch {
-	case a.cost < b.cost:
-		return -1
-	case a.cost > b.cost:
-		return 1
-	}
-	return 0
-}
+func compareCost(a, b candidate) int { return cmp.Compare(a.cost, b.cost) }
 
 func at(masks []hsfleet.Mask, i int) hsfleet.Mask {
 	if masks == nil {
--- a/core/hshome/home.go
+++ b/core/hshome/home.go
@@ -117,26 +117,14 @@
 
 // find chooses a home and marks it as taken.
 func (t taken) find(l *hsfleet.Layout, g *hsstate.Guarantee) ([]hsstate.HomePart, string) {
-	var best []choice
-	bestCost := 0
-	most := 0
-	for i := range l.Racks {
-		parts := t.rackChoices(l.Racks[i].Slots, g.Shape.PerWorker)
-		most = max(most, len(parts))
-		if len(parts) < int(g.Shape.Workers) {
-			continue
-		}
-		slices.SortStableFunc(parts, func(a, b choice) int { return a.cost - b.cost })
-		parts = parts[:g.Shape.Workers]
-		cost := 0
-		for _, c := range parts {
-			cost += c.cost
-		}
-		if best == nil || cost < bestCost {
-			best = parts
-			bestCost = cost
+	offer := func(s *hsfleet.Slot) (choice, bool) {
+		if !s.Worker.Announced() || s.Worker.Quarantined {
+			return choice{}, false
 		}
+		return t.cheapestGroup(s, g.Shape.PerWorker)
 	}
+	best, most := hsfleet.BestRack(l, g.Shape.Workers, offer,
+		func(a, b choice) int { return a.cost - b.cost }, totalCost)
 	if best == nil {
 		return nil, fmt.Sprintf("no rack has %d workers with %d adjacent accelerators outside other homes; the best has %d",
 			g.Shape.Workers, g.Shape.PerWorker, most)
@@ -149,17 +137,12 @@
 	return home, ""
 }
 
-func (t taken) rackChoices(slots []*hsfleet.Slot, n hsid.Accelerators) []choice {
-	var parts []choice
-	for _, s := range slots {
-		if !s.Worker.Announced() || s.Worker.Quarantined {
-			continue
-		}
-		if c, ok := t.cheapestGroup(s, n); ok {
-			parts = append(parts, c)
-		}
+func totalCost(parts []choice) int {
+	cost := 0
+	for _, c := range parts {
+		cost += c.cost
 	}
-	return parts
+	return cost
 }
 
 // cheapestGroup prefers free accelerators, and then the group with the least left over.
