--- a/cmd/hyssopseam-measure/agents.go
+++ b/cmd/hyssopseam-measure/agents.go
@@ -84,7 +84,7 @@
 }
 
 func startHolder(i int, peers []hsstate.Peer, interval time.Duration) *holder {
-	h := &holder{process: hsprocess.New(hsclock.System{}, hslog.Discard())}
+	h := &holder{process: hsprocess.New(hsclock.New(), hslog.Discard())}
 	id := hsid.InstanceID(fmt.Sprintf("stand-in-%03d", i))
 	h.links = hslink.New(hslink.Config{Instance: id, Roles: []hsmessage.Role{hsmessage.RoleAgent}}, hslog.Discard(), h.process.Receive)
 	a := hsagent.New(hsagent.Config{
@@ -93,7 +93,7 @@
 		Controls:    peers,
 		Interval:    interval,
 		Announce:    time.Hour,
-	}, hsclock.System{}, h.links, idle{process: h.process})
+	}, hsclock.New(), h.links, idle{process: h.process})
 	h.process.Attach(nil, nil, a)
 	go h.process.Run()
 	h.process.Announce(hsmessage.Worker{
--- /dev/null
+++ b/cmd/hyssopseam-node/main.go
@@ -0,0 +1,129 @@
+// Command hyssopseam-node is the daemon with the platform's front end beside its own interface.
+//
+// # Usage
+//
+//	hyssopseam-node --config FILE
+//
+// It runs until SIGTERM or SIGINT and then stops gracefully. SIGHUP has it read its settings again and say
+// whether they are right; a restart puts them in force. It exits 0 after a graceful stop, 1 after a failure,
+// and 2 for wrong usage or settings.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"hyssopseam/core/command/hsrunner"
+	"hyssopseam/io/hsapp"
+	"hyssopseam/io/hslog"
+	"hyssopseam/io/hsprocess"
+	"hyssopseam/io/hssettings"
+	"hyssopseam/platform/command/hsworker"
+	"hyssopseam/platform/hsgateway"
+)
+
+const (
+	exitFailure = 1
+	exitUsage   = 2
+	// memoryShare is the part of the memory, in percent, that the runtime keeps its heap within.
+	memoryShare = 70
+	// stopTime bounds the time until the front end has answered what it took.
+	stopTime = 4500 * time.Millisecond
+)
+
+func main() {
+	flags := flag.NewFlagSet("hyssopseam-node", flag.ContinueOnError)
+	config := flags.String("config", "", "the TOML settings of this process")
+	if err := ff.Parse(flags, os.Args[1:]); err != nil {
+		os.Exit(exitUsage)
+	}
+	s, err := hssettings.Load(*config)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitUsage)
+	}
+	if err := run(s, *config); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailure)
+	}
+}
+
+func run(s *hssettings.Settings, config string) error {
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * memoryShare / 100)
+	}
+	var level slog.Level
+	if s.LogLevel != "" {
+		if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
+			return fmt.Errorf("hyssopseam-node: %w", err)
+		}
+	}
+	out := hslog.NewQueue(os.Stdout)
+	defer out.Close()
+	logger := hslog.New(out, level)
+	app, err := hsapp.New(s, logger, endpoints(s))
+	if err != nil {
+		return err
+	}
+	gateway := hsgateway.New(s.Gateway, app.Process(), hslog.Part(logger, "gateway"))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	go reload(ctx, config, hslog.Part(logger, "node"))
+	if err := app.Start(); err != nil {
+		return err
+	}
+	if err := gateway.Listen(); err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case <-app.Process().Failed():
+		return app.Run(ctx)
+	}
+	bounded, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	if err := gateway.Stop(bounded); err != nil {
+		hslog.Part(logger, "node").Warn("requests were still under way", "error", err)
+	}
+	return app.Stop()
+}
+
+// endpoints returns how the client of the worker is made.
+func endpoints(s *hssettings.Settings) hsapp.Endpoints {
+	return func(p *hsprocess.Process, log *slog.Logger) hsrunner.Endpoint {
+		var source []byte
+		if a, err := netip.ParseAddrPort(s.HTTP); err == nil {
+			source = a.Addr().AsSlice()
+		}
+		return hsworker.New(p, source, hslog.Part(log, "worker"))
+	}
+}
+
+// reload reads the settings again on SIGHUP.
+func reload(ctx context.Context, config string, log *slog.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		if _, err := hssettings.Load(config); err != nil {
+			log.Error("settings can't be used", "error", err)
+			continue
+		}
+		log.Info("settings were read again")
+	}
+}
--- /dev/null
+++ b/core/command/hscatalog/check.go
@@ -0,0 +1,106 @@
+// Package hscatalog checks catalogs and submissions before they are accepted.
+//
+// A check has no side effects and depends on its argument alone, so that every replica, and every front
+// end, comes to the same result.
+//
+// # Usage
+//
+//	if err := hscatalog.Check(catalog); err != nil {
+//		refuse(err)
+//	}
+package hscatalog
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"hyssopseam/core/hswork"
+)
+
+// ErrInvalid is wrapped by every fault of a catalog.
+var ErrInvalid = errors.New("hscatalog: invalid catalog")
+
+// Bounds of what is accepted.
+const (
+	maxSpec  = 4000
+	maxSteps = 64
+	maxTasks = 10000
+	maxTimes = 10000
+	idLength = 16
+)
+
+// Check returns the first fault of a catalog: a queue of an unknown pool, two queues at one place, a queue
+// without a timeout, or a key that two workspaces share.
+func Check(c *hswork.Catalog) error {
+	if c == nil || c.Version == 0 {
+		return fmt.Errorf("%w: it has no version", ErrInvalid)
+	}
+	pools := map[hswork.PoolName]bool{}
+	for _, p := range c.Pools {
+		pools[p.Name] = true
+	}
+	type location struct{ host, prefix string }
+	taken := map[location]hswork.QueueName{}
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		at := location{q.Host, q.Prefix}
+		if other, ok := taken[at]; ok {
+			return fmt.Errorf("%w: queues %s and %s share host and prefix", ErrInvalid, other, q.Name)
+		}
+		taken[at] = q.Name
+		switch {
+		case !pools[q.Pool]:
+			return fmt.Errorf("%w: queue %s names the unknown pool %q", ErrInvalid, q.Name, q.Pool)
+		case q.Timeout <= 0:
+			return fmt.Errorf("%w: queue %s has no timeout", ErrInvalid, q.Name)
+		}
+	}
+	return checkKeys(c)
+}
+
+func checkKeys(c *hswork.Catalog) error {
+	owners := map[string]int{}
+	for i := range c.Workspaces {
+		for _, k := range c.Workspaces[i].Keys {
+			if other, ok := owners[k]; ok && other != i {
+				return fmt.Errorf("%w: workspaces %s and %s share a key", ErrInvalid, c.Workspaces[other].Name, c.Workspaces[i].Name)
+			}
+			owners[k] = i
+		}
+	}
+	return nil
+}
+
+// ValidSubmission reports whether a job can be accepted: a name of 16 hexadecimal digits, at least one step,
+// sizes within the bounds, and steps that follow only earlier ones.
+func ValidSubmission(id hswork.ID, s *hswork.Submission) bool {
+	if !validID(id) || len(s.Spec) > maxSpec || len(s.Steps) == 0 || len(s.Steps) > maxSteps || s.Times < 0 || s.Times > maxTimes || s.Every < 0 {
+		return false
+	}
+	tasks := 0
+	for i := range s.Steps {
+		p := &s.Steps[i]
+		n := p.Need
+		if p.Count < 1 || p.Count > maxTasks || n.Cores < 0 || n.Memory < 0 || n.Accelerators < 0 || p.Spread < 0 {
+			return false
+		}
+		if slices.ContainsFunc(p.After, func(before int) bool { return before < 0 || before >= i }) {
+			return false
+		}
+		tasks += p.Count
+	}
+	return tasks <= maxTasks
+}
+
+func validID(id hswork.ID) bool {
+	if len(id) != idLength {
+		return false
+	}
+	for _, r := range string(id) {
+		if !(r >= '0' && r <= '9' || r >= 'a' && r <= 'f' || r >= 'A' && r <= 'F') {
+			return false
+		}
+	}
+	return true
+}
--- a/core/command/hscommit/apply.go
+++ b/core/command/hscommit/apply.go
@@ -11,6 +11,7 @@
 
 import (
 	"hyssopseam/core/command/hsadmission"
+	"hyssopseam/core/command/hsflow"
 	"hyssopseam/core/command/hsrule"
 	"hyssopseam/core/hsestimate"
 	"hyssopseam/core/hsstate"
@@ -40,6 +41,8 @@
 	case c.Members != nil:
 		s.Cluster = c.Members.Cluster
 		s.Members = c.Members.Members
+	case c.Work != nil:
+		hsflow.Apply(s.Work, c.Work, e.Index, s.Clock)
 	}
 	return result
 }
--- a/core/command/hscontrol/agent.go
+++ b/core/command/hscontrol/agent.go
@@ -191,6 +191,7 @@
 		return
 	}
 	lease := c.lead.leases.Renew(from, r, &c.state.Rules.InForce, c.lead.term, c.ports.Clock.Now())
+	lease.Controls = c.memberAddresses()
 	c.ports.Sender.Send(from, lease)
 	c.checkRuleWaiters()
 }
--- a/core/command/hscontrol/applied.go
+++ b/core/command/hscontrol/applied.go
@@ -29,6 +29,8 @@
 	case x.Homes != nil:
 		c.lead.homesAsked = false
 		c.lead.passDue = true
+	case x.Work != nil:
+		c.lead.work.Applied(x.Work)
 	}
 	c.answerProposal(e.Index, r)
 }
--- a/core/command/hscontrol/config.go
+++ b/core/command/hscontrol/config.go
@@ -3,13 +3,16 @@
 import (
 	"time"
 
+	"hyssopseam/core/command/hsdispatch"
 	"hyssopseam/core/command/hsplacement"
 	"hyssopseam/core/command/hsqueue"
 	"hyssopseam/core/command/hsquorum"
+	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hssource"
 	"hyssopseam/core/hsstate"
 	"hyssopseam/core/hsview"
+	"hyssopseam/core/hswork"
 )
 
 // Defaults of a Config.
@@ -54,6 +57,14 @@
 	CoolDown time.Duration
 	// Replicas is how many members join without being asked.
 	Replicas int
+	// Work sets the times of step jobs.
+	Work hsdispatch.Config
+	// FoundBefore is the cluster time until which catalogs and step jobs wait for all Replicas to vote, so that
+	// what is acknowledged outlives the loss of disks. Zero waits for none.
+	FoundBefore time.Duration
+	// ReplaceAfter is how long a voter may be silent before a newcomer that waits takes its place; zero leaves
+	// that to the operator.
+	ReplaceAfter time.Duration
 	// Off switches mechanisms off, for comparison.
 	Off Off
 }
@@ -126,6 +137,13 @@
 	Requeued(j *hsstate.Job)
 }
 
+// WorkObserver is told of decisions on step jobs, for logs and metrics. It must not block.
+type WorkObserver interface {
+	hsdispatch.Observer
+	// WorkAnswered is told of the decision on a request, and the version of the catalog that it was made by.
+	WorkAnswered(id hsid.RequestID, q *hsmessage.WorkRequest, r hsmessage.WorkReply, catalog hswork.Version)
+}
+
 // Ports are the interfaces that the control role calls.
 type Ports struct {
 	Clock    Clock
@@ -135,4 +153,6 @@
 	Codec    StateCodec
 	Reader   Reader
 	Observer Observer
+	// Work is told of decisions on step jobs.
+	Work WorkObserver
 }
--- a/core/command/hscontrol/control.go
+++ b/core/command/hscontrol/control.go
@@ -68,8 +68,10 @@
 		c.receiveReport(from, m)
 	case hsmessage.Renew:
 		c.receiveRenew(from, m)
+	case hsmessage.Tally:
+		c.receiveTally(from, m)
 	case hsmessage.Newcomer:
-		c.newcomers[m.ID] = newcomer{message: m, seen: c.ports.Clock.Now()}
+		c.receiveNewcomer(m)
 	default:
 		c.replica.Receive(m)
 	}
--- a/core/command/hscontrol/leadership.go
+++ b/core/command/hscontrol/leadership.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hyssopseam/core/command/hsbreaker"
+	"hyssopseam/core/command/hsdispatch"
 	"hyssopseam/core/command/hslease"
 	"hyssopseam/core/command/hsqueue"
 	"hyssopseam/core/hsfleet"
@@ -54,6 +55,8 @@
 	passAt     time.Time
 	homesDue   bool
 	homesAsked bool
+
+	work *hsdispatch.Dispatcher
 }
 
 // awaited is a request whose entry isn't applied yet.
@@ -61,6 +64,8 @@
 	peer hsstate.Peer
 	id   hsid.RequestID
 	jobs []hsid.JobID
+	// work is the answer to a request about step jobs; nil for any other.
+	work *hsmessage.WorkReply
 }
 
 // waiter is a query that waits for something to happen.
@@ -99,6 +104,7 @@
 		passAt:     now,
 		homesDue:   true,
 	}
+	l.work = hsdispatch.New(c.config.Work, c.workPorts(), c.state.Work, l.term)
 	l.breakers.Disabled = c.config.Off.Breakers
 	l.queue.Flat = c.config.Off.Classes
 	for _, j := range c.state.Jobs {
--- a/core/command/hscontrol/members.go
+++ b/core/command/hscontrol/members.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"hyssopseam/core/command/hsquorum"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
@@ -98,20 +99,84 @@
 			return slices.Delete(members, old, old+1)
 		}
 	}
-	if len(members) >= c.config.Replicas {
-		return nil
+	if learner := c.silentLearner(members); learner >= 0 {
+		return slices.Delete(members, learner, learner+1)
 	}
 	for _, n := range c.sortedNewcomers() {
-		if n.Fresh && hsstate.MemberIndex(members, n.ID) < 0 {
-			return append(members, hsstate.Member{ID: n.ID, Instance: n.Instance, Address: n.Address})
+		if !c.mayJoin(n) || hsstate.MemberIndex(members, n.ID) >= 0 {
+			continue
+		}
+		replaced, ok := c.replacedBy(n, members)
+		if ok || len(members) < c.config.Replicas {
+			return append(members, hsstate.Member{ID: n.ID, Instance: n.Instance, Address: n.Address, Replaces: replaced})
 		}
 	}
 	return nil
 }
 
-// offerToJoin tells the other control replicas of this one while no membership lists it.
+// mayJoin reports whether a newcomer may join without being asked for: one with an empty log, or a former
+// member of this cluster whose disk is whole.
+func (c *Control) mayJoin(n hsmessage.Newcomer) bool {
+	return n.Fresh || c.config.ReplaceAfter > 0 && n.Cluster == c.replica.Cluster()
+}
+
+// silentLearner returns the position of a learner that fell silent before it could vote, or -1.
+func (c *Control) silentLearner(members []hsstate.Member) int {
+	return slices.IndexFunc(members, func(m hsstate.Member) bool {
+		return !m.Voter && c.config.ReplaceAfter > 0 && c.replica.Silence(m.ID) > c.config.ReplaceAfter
+	})
+}
+
+// replacedBy returns the member whose place a newcomer takes: the one whose disk was lost, since another one
+// answers at its address, or else one that was silent for long. One replacement is under way at a time, so
+// that there is never more than one voter over the intended number.
+func (c *Control) replacedBy(n hsmessage.Newcomer, members []hsstate.Member) (hsid.ReplicaID, bool) {
+	if c.config.ReplaceAfter == 0 || slices.ContainsFunc(members, func(m hsstate.Member) bool { return !m.Voter }) {
+		return 0, false
+	}
+	for _, m := range members {
+		if m.Address == n.Address {
+			return m.ID, true
+		}
+	}
+	if len(members) < c.config.Replicas {
+		return 0, false
+	}
+	for _, m := range members {
+		if c.replica.Silence(m.ID) > c.config.ReplaceAfter {
+			return m.ID, true
+		}
+	}
+	return 0, false
+}
+
+// memberAddresses returns where the control replicas are.
+func (c *Control) memberAddresses() []hsstate.Peer {
+	members := c.replica.Members()
+	addresses := make([]hsstate.Peer, 0, len(members))
+	for _, m := range members {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses
+}
+
+// receiveNewcomer remembers a newcomer, and tells the leader of it: a newcomer may know only replicas that
+// don't lead.
+func (c *Control) receiveNewcomer(m hsmessage.Newcomer) {
+	c.newcomers[m.ID] = newcomer{message: m, seen: c.ports.Clock.Now()}
+	leader := c.replica.LeaderAddress()
+	if m.Relayed || leader == "" || c.replica.Role() == hsquorum.Leader {
+		return
+	}
+	m.Relayed = true
+	c.ports.Sender.Send(leader, m)
+}
+
+// offerToJoin tells the other control replicas of this one while no membership lists it, or while it hears
+// of no leader: it may have been replaced without having heard of it.
 func (c *Control) offerToJoin() {
-	if hsstate.MemberIndex(c.replica.Members(), c.replica.ID()) >= 0 {
+	member := hsstate.MemberIndex(c.replica.Members(), c.replica.ID()) >= 0
+	if member && (c.config.ReplaceAfter == 0 || c.replica.HeardLeader(2*c.config.ReplaceAfter)) {
 		return
 	}
 	m := hsmessage.Newcomer{
@@ -119,9 +184,12 @@
 		Instance: c.config.Quorum.Instance,
 		Address:  c.config.Quorum.Address,
 		Fresh:    c.replica.Last() == 0,
+		Cluster:  c.replica.Cluster(),
 	}
-	for _, peer := range c.config.Controls {
-		if peer != m.Address {
+	sent := map[hsstate.Peer]bool{m.Address: true}
+	for _, peer := range slices.Concat(c.config.Controls, c.memberAddresses()) {
+		if !sent[peer] {
+			sent[peer] = true
 			c.ports.Sender.Send(peer, m)
 		}
 	}
--- a/core/command/hscontrol/request.go
+++ b/core/command/hscontrol/request.go
@@ -36,6 +36,8 @@
 		c.changeMembers(a, m.Members)
 	case m.Query != nil:
 		c.query(waiter{peer: from, id: m.ID, query: *m.Query})
+	case m.Work != nil:
+		c.work(a, m.Work)
 	default:
 		c.reply(a, hsmessage.Reply{Status: hsmessage.StatusBad, Reason: "the request asks for nothing"})
 	}
@@ -136,7 +138,7 @@
 		return
 	}
 	delete(c.lead.replies, index)
-	reply := hsmessage.Reply{Status: hsmessage.StatusDone, Rules: r.Rules, Job: r.Job}
+	reply := hsmessage.Reply{Status: hsmessage.StatusDone, Rules: r.Rules, Job: r.Job, Work: a.work}
 	switch {
 	case r.Rules != nil && r.Rules.Verdict != hsstate.RulesAccepted:
 		reply.Status = hsmessage.StatusConflict
--- a/core/command/hscontrol/wake.go
+++ b/core/command/hscontrol/wake.go
@@ -17,6 +17,7 @@
 	c.checkSilence(now)
 	c.expireWaiters(now)
 	c.repairMembers(now)
+	c.lead.work.Wake()
 	if now.Sub(c.lead.passAt) >= passInterval {
 		c.lead.passDue = true
 		c.lead.leases.Forget(forgetAfter, now)
@@ -32,6 +33,8 @@
 		c.schedule()
 	}
 	c.sendOrders()
+	c.lead.work.SetControls(c.memberAddresses())
+	c.lead.work.Flush()
 }
 
 // lostAt returns when a worker counts as lost if nothing more is heard of it: its run lease with the
--- /dev/null
+++ b/core/command/hsdispatch/place.go
@@ -0,0 +1,191 @@
+package hsdispatch
+
+import (
+	"time"
+
+	"hyssopseam/core/hsid"
+	"hyssopseam/core/hswork"
+)
+
+// Weights of the choice between workers that have room. Lower totals win.
+const (
+	weightFar     = 10.0
+	weightSuspect = 100.0
+	// weightBreak is for taking accelerators of a worker that is wholly free.
+	weightBreak = 0.3
+)
+
+// place finds room for a unit and takes it from the rooms, or returns nil. Units that are slow away from
+// their rack wait for it for as long as one of their tasks is declared to run.
+func (d *Dispatcher) place(u *unit, rooms []*room, now time.Time) []hswork.Member {
+	if racks := d.nearRacks(u, rooms); racks != nil {
+		if members := bestOf(u, rooms, racks, fits); members != nil {
+			return take(u, members, rooms)
+		}
+		if now.Sub(u.since) < d.patience(u) {
+			return nil
+		}
+	}
+	if members := spreadOver(u, rooms, "", fits); members != nil {
+		return take(u, members, rooms)
+	}
+	return nil
+}
+
+// patience is how long a unit waits for its rack.
+func (d *Dispatcher) patience(u *unit) time.Duration {
+	if u.covered {
+		return 0
+	}
+	return max(u.step.Estimate, time.Second)
+}
+
+// nearRacks returns the racks on which a unit runs at full speed, or nil when it does so everywhere or
+// nowhere.
+func (d *Dispatcher) nearRacks(u *unit, rooms []*room) []hswork.Label {
+	s := u.step
+	if s.DataRack != "" {
+		return []hswork.Label{s.DataRack}
+	}
+	if !s.SameRack || len(u.tasks) == 1 {
+		return nil
+	}
+	var racks []hswork.Label
+	seen := map[hswork.Label]bool{}
+	for _, r := range rooms {
+		if r.rack != "" && !seen[r.rack] && r.suits(u.job.Pool, s) {
+			seen[r.rack] = true
+			racks = append(racks, r.rack)
+		}
+	}
+	return racks
+}
+
+// bestOf places a unit on the one rack where it leaves the least unusable.
+func bestOf(u *unit, rooms []*room, racks []hswork.Label, fit fitting) []hswork.Member {
+	var best []hswork.Member
+	bestCost := 0.0
+	for _, rack := range racks {
+		members, cost := spreadCost(u, rooms, rack, fit)
+		if members != nil && (best == nil || cost < bestCost) {
+			best = members
+			bestCost = cost
+		}
+	}
+	return best
+}
+
+// fitting tells whether a task fits into what is left of a room, and at what cost.
+type fitting func(u *unit, r *room, left hswork.Resources) (float64, bool)
+
+func fits(u *unit, r *room, left hswork.Resources) (float64, bool) {
+	n := need(u.step)
+	if !left.Holds(n) {
+		return 0, false
+	}
+	cost := leftover(r, left.Minus(n))
+	if left == r.all && n.Accelerators < r.all.Accelerators {
+		cost += weightBreak
+	}
+	return cost, true
+}
+
+// leftover is the mean share of a worker's resources that stay free.
+func leftover(r *room, left hswork.Resources) float64 {
+	return (share(int64(left.Cores), int64(r.all.Cores)) +
+		share(int64(left.Memory), int64(r.all.Memory)) +
+		share(int64(left.Accelerators), int64(r.all.Accelerators))) / 3
+}
+
+func share(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+func spreadOver(u *unit, rooms []*room, rack hswork.Label, fit fitting) []hswork.Member {
+	members, _ := spreadCost(u, rooms, rack, fit)
+	return members
+}
+
+// spreadCost places each task of a unit on the worker where it costs least, on one rack or on any.
+func spreadCost(u *unit, rooms []*room, rack hswork.Label, fit fitting) ([]hswork.Member, float64) {
+	left := map[hsid.InstanceID]hswork.Resources{}
+	counts := occupancy(u)
+	total := 0.0
+	var members []hswork.Member
+	for _, t := range u.tasks {
+		var best *room
+		bestCost := 0.0
+		for _, r := range rooms {
+			if rack != "" && r.rack != rack || !r.suits(u.job.Pool, u.step) {
+				continue
+			}
+			if u.step.Spread > 0 && counts[r.worker.id] >= u.step.Spread {
+				continue
+			}
+			free, ok := left[r.worker.id]
+			if !ok {
+				free = r.free
+			}
+			cost, ok := fit(u, r, free)
+			if !ok {
+				continue
+			}
+			cost += misgivings(u, r)
+			if best == nil || cost < bestCost {
+				best = r
+				bestCost = cost
+			}
+		}
+		if best == nil {
+			return nil, 0
+		}
+		free, ok := left[best.worker.id]
+		if !ok {
+			free = best.free
+		}
+		left[best.worker.id] = free.Minus(need(u.step))
+		counts[best.worker.id]++
+		total += bestCost
+		members = append(members, best.member(t))
+	}
+	return members, total
+}
+
+// misgivings is the cost of a worker that the unit would rather not run on.
+func misgivings(u *unit, r *room) float64 {
+	cost := 0.0
+	if u.step.DataRack != "" && r.rack != u.step.DataRack {
+		cost += weightFar
+	}
+	if r.worker.health.suspect() {
+		cost += weightSuspect
+	}
+	return cost + weightSuspect*float64(r.worker.health.failures)/(10*suspectAfter)
+}
+
+// occupancy counts the tasks of the unit's step and occurrence on each worker.
+func occupancy(u *unit) map[hsid.InstanceID]int {
+	counts := map[hsid.InstanceID]int{}
+	if u.step.Spread == 0 {
+		return counts
+	}
+	first := u.tasks[0]
+	for _, t := range u.job.Rounds[first.Occurrence].Steps[first.Step] {
+		for _, p := range t.Places {
+			counts[p.Worker]++
+		}
+	}
+	return counts
+}
+
+// take strikes what a unit needs out of the rooms.
+func take(u *unit, members []hswork.Member, rooms []*room) []hswork.Member {
+	for _, m := range members {
+		r := roomOf(rooms, m.Worker)
+		r.free = r.free.Minus(need(u.step))
+	}
+	return members
+}
--- a/core/command/hsentry/entry.go
+++ b/core/command/hsentry/entry.go
@@ -162,6 +162,8 @@
 	switch {
 	case len(e.pending) >= MaxPending:
 		return fmt.Sprintf("%d requests wait for an answer, the bound", MaxPending)
+	case m.Work != nil && !e.holder.Valid():
+		return "the entry has no contact with the leader"
 	case m.Submit == nil:
 		return ""
 	case e.draining:
--- /dev/null
+++ b/core/command/hsflow/flow.go
@@ -0,0 +1,177 @@
+// Package hsflow applies committed commands to the state of step jobs.
+//
+// Apply is the only way in which an hswork.State changes, and is deterministic. A command that doesn't fit
+// the state any more changes nothing: a start of a job that was cancelled meanwhile, an end that was noted
+// before, a catalog that isn't newer than the one in force.
+//
+// # Usage
+//
+//	hsflow.Apply(state, command, index, clock)
+package hsflow
+
+import (
+	"slices"
+	"time"
+
+	"hyssopseam/core/hsid"
+	"hyssopseam/core/hswork"
+)
+
+const (
+	// retention is how long an ended job is remembered. Callers may ask for its state for two minutes.
+	retention = 10 * time.Minute
+	// maxEnded bounds the ended jobs that are remembered, a day's worth of the largest deployment.
+	maxEnded = 5000
+)
+
+// Apply changes the state by one command that was committed at an index and a cluster time.
+func Apply(s *hswork.State, c *hswork.Command, index hsid.LogIndex, clock time.Duration) {
+	switch {
+	case c.Catalog != nil:
+		if c.Catalog.Version > s.Catalog.Version {
+			s.Catalog = *c.Catalog
+		}
+	case c.Submit != nil:
+		submit(s, c.Submit, index, clock)
+	case c.Start != nil:
+		start(s, c.Start)
+	case c.End != nil:
+		for i := range c.End.Ends {
+			end(s, &c.End.Ends[i], clock)
+		}
+	case c.Cancel != nil:
+		if j := s.Jobs[c.Cancel.ID]; j != nil {
+			finish(s, j, hswork.Cancelled, clock)
+		}
+	}
+	forget(s, clock)
+}
+
+func submit(s *hswork.State, c *hswork.Submit, index hsid.LogIndex, clock time.Duration) {
+	if s.Jobs[c.Submission.ID] != nil {
+		return
+	}
+	s.Jobs[c.Submission.ID] = &hswork.Job{
+		Submission:  c.Submission,
+		Queue:       c.Queue,
+		Pool:        c.Pool,
+		Workspace:   c.Workspace,
+		Priority:    c.Priority,
+		MaxAttempts: c.Attempts,
+		Stretch:     c.Stretch,
+		Target:      c.Target,
+		Accepted:    clock,
+		Index:       index,
+		Phase:       hswork.Open,
+	}
+}
+
+// start places all members, or none when one of them can't start any more.
+func start(s *hswork.State, c *hswork.Start) {
+	for _, m := range c.Members {
+		j := s.Jobs[m.Task.Work]
+		if j == nil || j.Phase != hswork.Open || j.Round(m.Task.Occurrence) == nil {
+			return
+		}
+		t := j.Task(m.Task)
+		if t == nil || t.Done || len(t.Places) > 0 || c.Number <= t.Run {
+			return
+		}
+	}
+	for _, m := range c.Members {
+		t := s.Jobs[m.Task.Work].Task(m.Task)
+		t.Run = c.Number
+		t.Places = append(t.Places, hswork.Place{Number: c.Number, Worker: m.Worker, Life: m.Life})
+	}
+}
+
+// end notes the end of a run. A failure counts also when the run was given up before; any other end of
+// such a run is without effect, since the task may have run again.
+func end(s *hswork.State, e *hswork.End, clock time.Duration) {
+	j := s.Jobs[e.Run.Task.Work]
+	if j == nil {
+		return
+	}
+	t := j.Task(e.Run.Task)
+	if t == nil {
+		return
+	}
+	placed := t.Place(e.Run.Number) != nil
+	t.Places = slices.DeleteFunc(t.Places, func(p hswork.Place) bool { return p.Number == e.Run.Number })
+	if placed && e.How != hswork.EndLost && e.How != hswork.EndNever {
+		j.Begun = true
+	}
+	tasks := []hswork.Task{}
+	step := &j.Steps[e.Run.Task.Step]
+	if step.Gang {
+		tasks = j.Rounds[e.Run.Task.Occurrence].Steps[e.Run.Task.Step]
+	}
+	each := func(change func(t *hswork.Task)) {
+		if !step.Gang {
+			change(t)
+		}
+		for i := range tasks {
+			change(&tasks[i])
+		}
+	}
+	if placed && e.Checkpoint != "" && e.Run.Number == t.Run {
+		each(func(t *hswork.Task) { t.Checkpoint = e.Checkpoint })
+	}
+	switch {
+	case e.How == hswork.EndDone && placed && !step.Lasts:
+		each(func(t *hswork.Task) { t.Done = true })
+		if allDone(j) {
+			finish(s, j, hswork.Completed, clock)
+		}
+	case e.How == hswork.EndFailed && !t.Done && !step.Lasts:
+		each(func(t *hswork.Task) {
+			if !slices.Contains(t.Failed, e.Run.Number) {
+				t.Failed = append(t.Failed, e.Run.Number)
+			}
+		})
+		if len(t.Failed) >= j.MaxAttempts {
+			finish(s, j, hswork.Failed, clock)
+		}
+	}
+}
+
+func allDone(j *hswork.Job) bool {
+	if len(j.Rounds) < j.Occurrences() {
+		return false
+	}
+	for k := range j.Rounds {
+		if !j.Rounds[k].Done() {
+			return false
+		}
+	}
+	return true
+}
+
+// finish ends an open job. Its runs stay placed until they are proved to be over.
+func finish(s *hswork.State, j *hswork.Job, p hswork.Phase, clock time.Duration) {
+	if j.Phase != hswork.Open {
+		return
+	}
+	j.Phase = p
+	j.Ended = clock
+	s.Ended = append(s.Ended, j.ID)
+}
+
+// forget drops the jobs that ended long ago and have nothing placed.
+func forget(s *hswork.State, clock time.Duration) {
+	for len(s.Ended) > 0 {
+		j := s.Jobs[s.Ended[0]]
+		if j != nil {
+			if clock-j.Ended < retention && len(s.Ended) <= maxEnded {
+				return
+			}
+			placed := false
+			j.EachPlace(func(hswork.TaskID, *hswork.Task, hswork.Place) { placed = true })
+			if placed {
+				return
+			}
+			delete(s.Jobs, j.ID)
+		}
+		s.Ended = s.Ended[1:]
+	}
+}
--- a/core/command/hsholder/holder.go
+++ b/core/command/hsholder/holder.go
@@ -92,6 +92,13 @@
 	return h.config.Controls[h.control%len(h.config.Controls)]
 }
 
+// Learn replaces the control replicas that are known. An empty list changes nothing.
+func (h *Holder) Learn(controls []hsstate.Peer) {
+	if len(controls) > 0 {
+		h.config.Controls = controls
+	}
+}
+
 // Renew returns the next request for the lease, and notes when it was made.
 func (h *Holder) Renew(role hsmessage.Role) hsmessage.Renew {
 	h.sequence++
@@ -114,6 +121,7 @@
 	}
 	h.term = m.Term
 	h.leader = from
+	h.Learn(m.Controls)
 	changed := m.Rules != nil && m.Rules.Number > h.rules.Number
 	if changed {
 		h.rules = *m.Rules
--- a/core/command/hsquorum/membership.go
+++ b/core/command/hsquorum/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsstate"
@@ -62,6 +63,25 @@
 	return p != nil && r.ports.Clock.Now().Sub(p.acked) < 2*r.config.Election
 }
 
+// Silence returns, on a leader, how long ago a replica last answered; before its first answer, how long this
+// one has led.
+func (r *Replica) Silence(id hsid.ReplicaID) time.Duration {
+	p := r.peers[id]
+	if id == r.config.ID || p == nil {
+		return 0
+	}
+	last := p.acked
+	if last.Before(r.ledSince) {
+		last = r.ledSince
+	}
+	return r.ports.Clock.Now().Sub(last)
+}
+
+// HeardLeader reports whether this replica leads, or heard from a leader within a time.
+func (r *Replica) HeardLeader(within time.Duration) bool {
+	return r.role == Leader || r.ports.Clock.Now().Sub(r.lastHeard) <= within
+}
+
 // CaughtUp reports, on a leader, whether a replica has every committed entry on its disk.
 func (r *Replica) CaughtUp(id hsid.ReplicaID) bool {
 	if id == r.config.ID {
--- a/core/hsmessage/lease.go
+++ b/core/hsmessage/lease.go
@@ -40,6 +40,8 @@
 	Number   hsid.RuleNumber
 	// Rules is set when the holder is behind Number.
 	Rules *hsstate.RuleSet
+	// Controls are the addresses of the control replicas; empty when they are configured.
+	Controls []hsstate.Peer
 }
 
 // Worker describes the worker that an agent stands for, as its endpoint announced it.
--- a/core/hsmessage/quorum.go
+++ b/core/hsmessage/quorum.go
@@ -84,8 +84,12 @@
 	ID       hsid.ReplicaID
 	Instance hsid.InstanceID
 	Address  hsstate.Peer
-	// Fresh is set while its log is empty. Only such a newcomer joins without being asked.
+	// Fresh is set while its log is empty. Only such a newcomer, or a former member, joins without being asked.
 	Fresh bool
+	// Cluster is what its log belongs to; empty for a fresh one.
+	Cluster hsid.ClusterID
+	// Relayed is set by a replica that passes the message on to the leader.
+	Relayed bool
 }
 
 func (VoteRequest) message()        {}
--- a/core/hsmessage/request.go
+++ b/core/hsmessage/request.go
@@ -17,6 +17,7 @@
 	Cancel  *hsstate.CancelJobs
 	Members *MembersChange
 	Query   *Query
+	Work    *WorkRequest
 }
 
 // MembersAction names a change of the control replicas.
@@ -89,6 +90,8 @@
 	Job        *hsstate.JobResult
 	// View is what a query asked for.
 	View *hsview.View
+	// Work answers a WorkRequest.
+	Work *WorkReply
 }
 
 func (Request) message() {}
--- a/core/hsstate/command.go
+++ b/core/hsstate/command.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hyssopseam/core/hsid"
+	"hyssopseam/core/hswork"
 )
 
 // Command is one change of the state; exactly one field is set. The zero command changes nothing and
@@ -17,6 +18,7 @@
 	Cancel  *CancelJobs
 	Homes   *SetHomes
 	Members *SetMembers
+	Work    *hswork.Command
 }
 
 // PushRules puts a rule file in force.
--- a/core/hsstate/state.go
+++ b/core/hsstate/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hyssopseam/core/hsid"
+	"hyssopseam/core/hswork"
 )
 
 // State is everything that the control replicas agree on.
@@ -24,6 +25,8 @@
 	Estimates []Estimate
 	// Queued counts the queued jobs of each workspace.
 	Queued map[hsid.WorkspaceID]int
+	// Work holds the step jobs and their catalog.
+	Work *hswork.State
 }
 
 // New returns an empty state.
@@ -31,6 +34,7 @@
 	return &State{
 		Jobs:   map[hsid.JobID]*Job{},
 		Queued: map[hsid.WorkspaceID]int{},
+		Work:   hswork.NewState(),
 	}
 }
 
--- /dev/null
+++ b/core/hswork/state.go
@@ -0,0 +1,83 @@
+package hswork
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"hyssopseam/core/hsid"
+)
+
+// State is the replicated state of step jobs.
+type State struct {
+	Catalog Catalog
+	Jobs    map[ID]*Job
+	// Ended lists the jobs that aren't open, oldest first.
+	Ended []ID
+}
+
+// NewState returns an empty state.
+func NewState() *State { return &State{Jobs: map[ID]*Job{}} }
+
+// OpenJobs returns the open jobs in the order in which they were accepted.
+func (s *State) OpenJobs() []*Job {
+	var open []*Job
+	for _, j := range s.Jobs {
+		if j.Phase == Open {
+			open = append(open, j)
+		}
+	}
+	slices.SortFunc(open, func(a, b *Job) int { return cmp.Or(cmp.Compare(a.Index, b.Index), cmp.Compare(a.ID, b.ID)) })
+	return open
+}
+
+// Command is one change of the State; exactly one field is set.
+type Command struct {
+	Catalog *Catalog
+	Submit  *Submit
+	Start   *Start
+	End     *Ends
+	Cancel  *Cancel
+}
+
+// Submit accepts a job.
+type Submit struct {
+	Submission Submission
+	Queue      QueueName
+	Pool       PoolName
+	Workspace  hsid.WorkspaceID
+	Priority   int
+	Attempts   int
+	Stretch    float64
+	Target     time.Duration
+}
+
+// Member is one task of a start and where it goes.
+type Member struct {
+	Task   TaskID
+	Worker hsid.InstanceID
+	Life   Life
+}
+
+// Start places the tasks of one gang, or one task, under one run number.
+type Start struct {
+	Number  RunNumber
+	Members []Member
+}
+
+// End is the end of one run.
+type End struct {
+	Run        RunID
+	How        How
+	Checkpoint Checkpoint
+}
+
+// Ends is a batch of ends.
+type Ends struct {
+	Ends []End
+}
+
+// Cancel cancels a job.
+type Cancel struct {
+	ID ID
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -108,7 +108,7 @@
 }
 
 func (d *Demo) startApp(s *hssettings.Settings, logger *slog.Logger) error {
-	app, err := hsapp.New(s, logger)
+	app, err := hsapp.New(s, logger, nil)
 	if err != nil {
 		return err
 	}
--- a/io/hsapp/app.go
+++ b/io/hsapp/app.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	app, err := hsapp.New(settings, logger)
+//	app, err := hsapp.New(settings, logger, nil)
 //	if err := app.Start(); err != nil {
 //		return err
 //	}
@@ -24,6 +24,7 @@
 	"hyssopseam/core/command/hsagent"
 	"hyssopseam/core/command/hscontrol"
 	"hyssopseam/core/command/hsentry"
+	"hyssopseam/core/command/hsrunner"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/io/hslog"
 	"hyssopseam/io/hsprocess"
@@ -39,8 +40,14 @@
 	cleanup []func()
 }
 
-// New builds the process. Nothing listens yet.
-func New(s *hssettings.Settings, logger *slog.Logger) (*App, error) {
+// Endpoints makes the client of the endpoint beside a runner. Its results go to the process.
+type Endpoints func(p *hsprocess.Process, log *slog.Logger) hsrunner.Endpoint
+
+// New builds the process. Nothing listens yet. Endpoints is nil for a process without the runner role.
+func New(s *hssettings.Settings, logger *slog.Logger, endpoints Endpoints) (*App, error) {
+	if s.Holds(hsmessage.RoleRunner) && endpoints == nil {
+		return nil, errors.New("hsapp: the runner role needs a client of its endpoint")
+	}
 	b, err := initBase(s, logger)
 	if err != nil {
 		return nil, fmt.Errorf("hsapp: %w", err)
@@ -69,6 +76,9 @@
 		a.cleanup = append(a.cleanup, cleanup)
 	}
 	b.process.Attach(control, entry, agent)
+	if s.Holds(hsmessage.RoleRunner) {
+		b.process.AttachRunner(initRunner(b, endpoints(b.process, logger)))
+	}
 	a.watch()
 	if err := a.serve(platform); err != nil {
 		return nil, err
--- a/io/hsapp/role.go
+++ b/io/hsapp/role.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/netip"
@@ -9,16 +10,19 @@
 
 	"hyssopseam/core/command/hsagent"
 	"hyssopseam/core/command/hscontrol"
+	"hyssopseam/core/command/hsdispatch"
 	"hyssopseam/core/command/hsentry"
 	"hyssopseam/core/command/hsplacement"
 	"hyssopseam/core/command/hsqueue"
 	"hyssopseam/core/command/hsquorum"
+	"hyssopseam/core/command/hsrunner"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
 	"hyssopseam/core/query/hsreport"
 	"hyssopseam/io/hsclock"
 	"hyssopseam/io/hscodec"
+	"hyssopseam/io/hsdecision"
 	"hyssopseam/io/hsdisk"
 	"hyssopseam/io/hslink"
 	"hyssopseam/io/hslog"
@@ -35,13 +39,14 @@
 	process     *hsprocess.Process
 	links       *hslink.Links
 	metrics     *hsmetric.Metrics
+	decisions   *hsdecision.Book
 	incarnation hsid.Incarnation
 }
 
 func newIncarnation() hsid.Incarnation { return hsclock.NewIncarnation() }
 
 func newProcess(log *slog.Logger) *hsprocess.Process {
-	return hsprocess.New(hsclock.System{}, hslog.Part(log, "process"))
+	return hsprocess.New(hsclock.New(), hslog.Part(log, "process"))
 }
 
 func newLinks(s *hssettings.Settings, log *slog.Logger, p *hsprocess.Process) (*hslink.Links, error) {
@@ -100,6 +105,9 @@
 
 // openDisk opens the data folder; the second result closes it.
 func openDisk(b *base) (openedDisk, func(), error) {
+	if err := found(b); err != nil {
+		return openedDisk{}, nil, err
+	}
 	d, c, err := hsdisk.Open(b.settings.DataFolder, b.process.Synced)
 	if err != nil {
 		return openedDisk{}, nil, err
@@ -119,6 +127,22 @@
 	return openedDisk{disk: d, contents: c}, cleanup, nil
 }
 
+// found forms the cluster when this process is to and its data folder is empty.
+func found(b *base) error {
+	if !b.settings.Founder() {
+		return nil
+	}
+	id, err := hsdisk.Form(b.settings.DataFolder, b.settings.Instance, b.settings.Link)
+	switch {
+	case errors.Is(err, hsdisk.ErrFormed):
+		return nil
+	case err != nil:
+		return fmt.Errorf("hsapp: %w", err)
+	}
+	hslog.Part(b.log, "disk").Info("formed a new cluster", "replica", id)
+	return nil
+}
+
 func newControl(b *base, d openedDisk, p hscontrol.Ports) (*hscontrol.Control, error) {
 	p.Storage = d.disk
 	control, err := hscontrol.New(controlConfig(b.settings, d.contents.Replica), p, d.contents.Stored)
@@ -130,12 +154,13 @@
 
 func controlPorts(b *base, s *sender) hscontrol.Ports {
 	return hscontrol.Ports{
-		Clock:    hsclock.System{},
+		Clock:    hsclock.New(),
 		Random:   hsclock.Random{},
 		Sender:   s,
 		Codec:    hscodec.State{},
 		Reader:   hsreport.Reader{},
 		Observer: b.metrics,
+		Work:     b.decisions,
 	}
 }
 
@@ -162,6 +187,10 @@
 		Prepare:    time.Duration(c.Prepare),
 		CoolDown:   time.Duration(c.CoolDown),
 		Replicas:   c.Replicas,
+		Work:       hsdispatch.Config{Lease: s.Work.Lease(), StopTimeout: time.Duration(s.Work.Stop)},
+
+		FoundBefore:  time.Duration(c.FoundBefore),
+		ReplaceAfter: time.Duration(c.ReplaceAfter),
 	}
 }
 
@@ -175,7 +204,7 @@
 func newEntry(b *base, s *sender) *hsentry.Entry {
 	c := hsentry.Config{Instance: b.settings.Instance, Incarnation: b.incarnation, Controls: b.settings.Controls}
 	return hsentry.New(c, hsentry.Ports{
-		Clock:    hsclock.System{},
+		Clock:    hsclock.New(),
 		Random:   hsclock.Random{},
 		Sender:   s,
 		Answerer: b.process,
@@ -201,5 +230,20 @@
 		Interval:    time.Duration(b.settings.Agent.Interval),
 		Announce:    time.Duration(b.settings.Agent.Announce),
 	}
-	return hsagent.New(c, hsclock.System{}, s, p)
+	return hsagent.New(c, hsclock.New(), s, p)
+}
+
+func newDecisions(log *slog.Logger, m *hsmetric.Metrics) *hsdecision.Book {
+	return hsdecision.New(hslog.Part(log, "work"), m.Registerer())
+}
+
+func newRunner(b *base, s *sender, e hsrunner.Endpoint) *hsrunner.Runner {
+	c := hsrunner.Config{
+		Instance:    b.settings.Instance,
+		Incarnation: b.incarnation,
+		Zone:        b.settings.Zone,
+		Controls:    b.settings.Controls,
+		Interval:    time.Duration(b.settings.Work.Interval),
+	}
+	return hsrunner.New(c, hsrunner.Ports{Clock: hsclock.New(), Sender: s, Endpoint: e, Observer: b.decisions})
 }
--- a/io/hsapp/wire.go
+++ b/io/hsapp/wire.go
@@ -9,13 +9,14 @@
 
 	"hyssopseam/core/command/hscontrol"
 	"hyssopseam/core/command/hsentry"
+	"hyssopseam/core/command/hsrunner"
 	"hyssopseam/io/hsmetric"
 	"hyssopseam/io/hssettings"
 )
 
 // initBase builds what the roles of a process share.
 func initBase(s *hssettings.Settings, log *slog.Logger) (*base, error) {
-	wire.Build(newIncarnation, newProcess, newLinks, hsmetric.New, wire.Struct(new(base), "*"))
+	wire.Build(newIncarnation, newProcess, newLinks, hsmetric.New, newDecisions, wire.Struct(new(base), "*"))
 	return nil, nil
 }
 
@@ -36,3 +37,9 @@
 	wire.Build(newSender, newPlatform, newAgent, wire.Struct(new(agentRole), "*"))
 	return nil, nil
 }
+
+// initRunner builds the runner role.
+func initRunner(b *base, e hsrunner.Endpoint) *hsrunner.Runner {
+	wire.Build(newSender, newRunner)
+	return nil
+}
--- a/io/hsapp/wire_gen.go
+++ b/io/hsapp/wire_gen.go
@@ -9,6 +9,7 @@
 import (
 	"hyssopseam/core/command/hscontrol"
 	"hyssopseam/core/command/hsentry"
+	"hyssopseam/core/command/hsrunner"
 	"hyssopseam/io/hsmetric"
 	"hyssopseam/io/hssettings"
 	"log/slog"
@@ -24,6 +25,7 @@
 		return nil, err
 	}
 	metrics := hsmetric.New()
+	book := newDecisions(log, metrics)
 	incarnation := newIncarnation()
 	hsappBase := &base{
 		settings:    s,
@@ -31,6 +33,7 @@
 		process:     process,
 		links:       links,
 		metrics:     metrics,
+		decisions:   book,
 		incarnation: incarnation,
 	}
 	return hsappBase, nil
@@ -74,3 +77,10 @@
 		cleanup()
 	}
 }
+
+// initRunner builds the runner role.
+func initRunner(b *base, e hsrunner.Endpoint) *hsrunner.Runner {
+	hsappSender := newSender(b)
+	runner := newRunner(b, hsappSender, e)
+	return runner
+}
--- a/io/hscodec/codec.go
+++ b/io/hscodec/codec.go
@@ -68,6 +68,8 @@
 	register[hsmessage.Redirect](13),
 	register[hsmessage.Request](14),
 	register[hsmessage.Reply](15),
+	register[hsmessage.Tally](16),
+	register[hsmessage.Plan](17),
 }
 
 var (
@@ -184,5 +186,11 @@
 	if s.Queued == nil {
 		s.Queued = maps.Queued
 	}
+	if s.Work == nil {
+		s.Work = maps.Work
+	}
+	if s.Work.Jobs == nil {
+		s.Work.Jobs = maps.Work.Jobs
+	}
 	return s, nil
 }
--- a/io/hsmetric/metric.go
+++ b/io/hsmetric/metric.go
@@ -70,6 +70,9 @@
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, read))
 }
 
+// Registerer takes the metrics of other parts.
+func (m *Metrics) Registerer() prometheus.Registerer { return m.registry }
+
 // Handler serves the metrics.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/io/hsprocess/input.go
+++ b/io/hsprocess/input.go
@@ -34,6 +34,10 @@
 		if p.agent != nil {
 			p.agent.Receive(in.from, m)
 		}
+	case hsmessage.Plan:
+		if p.runner != nil {
+			p.runner.Receive(in.from, m)
+		}
 	case hsmessage.Reply:
 		if p.entry != nil {
 			p.entry.Receive(in.from, m)
@@ -57,12 +61,16 @@
 	case hsmessage.Redirect:
 		role = m.Role
 	}
-	if p.entry != nil && role != hsmessage.RoleAgent {
+	meant := func(r hsmessage.Role) bool { return role == r || role == "" }
+	if p.entry != nil && meant(hsmessage.RoleEntry) {
 		p.entry.Receive(from, m)
 	}
-	if p.agent != nil && role != hsmessage.RoleEntry {
+	if p.agent != nil && meant(hsmessage.RoleAgent) {
 		p.agent.Receive(from, m)
 	}
+	if p.runner != nil && meant(hsmessage.RoleRunner) {
+		p.runner.Receive(from, m)
+	}
 }
 
 // Lost takes the news that a control replica can't be reached.
@@ -79,6 +87,9 @@
 	if p.agent != nil {
 		p.agent.Lost(in.peer)
 	}
+	if p.runner != nil {
+		p.runner.Lost(in.peer)
+	}
 }
 
 // Synced takes the end of a save. After an error the process fails.
--- a/io/hsprocess/process.go
+++ b/io/hsprocess/process.go
@@ -23,6 +23,7 @@
 	"hyssopseam/core/command/hsagent"
 	"hyssopseam/core/command/hscontrol"
 	"hyssopseam/core/command/hsentry"
+	"hyssopseam/core/command/hsrunner"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
@@ -55,6 +56,7 @@
 	Pending    int
 	Strays     int
 	AgentTasks int
+	Runs       int
 	Draining   bool
 	Batches    uint64
 }
@@ -66,6 +68,7 @@
 	control *hscontrol.Control
 	entry   *hsentry.Entry
 	agent   *hsagent.Agent
+	runner  *hsrunner.Runner
 
 	inbox     chan input
 	stop      chan struct{}
@@ -111,6 +114,9 @@
 	p.agent = a
 }
 
+// AttachRunner gives the process the runner role before Run.
+func (p *Process) AttachRunner(r *hsrunner.Runner) { p.runner = r }
+
 // Published returns the newest snapshot. It is safe for concurrent use.
 func (p *Process) Published() *Published { return p.published.Load() }
 
@@ -206,6 +212,9 @@
 	if p.agent != nil {
 		all = append(all, p.agent)
 	}
+	if p.runner != nil {
+		all = append(all, p.runner)
+	}
 	return all
 }
 
@@ -250,6 +259,10 @@
 		s.Rules, s.RulesOK = p.agent.Rules()
 		s.AgentTasks = p.agent.Busy()
 	}
+	if p.runner != nil {
+		s.Leader = p.runner.Leader()
+		s.Runs = p.runner.Runs()
+	}
 	p.published.Store(s)
 }
 
--- a/io/hssettings/check.go
+++ b/io/hssettings/check.go
@@ -65,6 +65,7 @@
 	c.address("link", string(s.Link), s.Holds(hsmessage.RoleControl))
 	c.address("listen", string(s.Listen), false)
 	c.controls(s)
+	c.gateway(&s.Gateway)
 	if s.Holds(hsmessage.RoleControl) == (s.DataFolder == "") {
 		c.fault("dataFolder", "the control role needs a folder for its log, and no other role takes one")
 	}
@@ -83,14 +84,14 @@
 }
 
 func (c *checker) roles(s *Settings) {
-	known := []hsmessage.Role{hsmessage.RoleEntry, hsmessage.RoleControl, hsmessage.RoleAgent}
+	known := []hsmessage.Role{hsmessage.RoleEntry, hsmessage.RoleControl, hsmessage.RoleAgent, hsmessage.RoleRunner}
 	if len(s.Roles) == 0 {
-		c.fault("roles", "it needs at least one of entry, control and agent")
+		c.fault("roles", "it needs at least one of entry, control, agent and runner")
 	}
 	for i, r := range s.Roles {
 		switch {
 		case !slices.Contains(known, r):
-			c.fault("roles", "%q is none of entry, control and agent", r)
+			c.fault("roles", "%q is none of entry, control, agent and runner", r)
 		case slices.Contains(s.Roles[:i], r):
 			c.fault("roles", "%q stands twice", r)
 		}
@@ -115,6 +116,20 @@
 	}
 }
 
+// gateway checks the addresses of the other front end.
+func (c *checker) gateway(g *Gateway) {
+	addresses := []struct{ key, value string }{
+		{"gateway.callers", g.Callers},
+		{"gateway.readiness", g.Readiness},
+		{"gateway.operators", g.Operators},
+		{"gateway.announcements", g.Announcements},
+		{"gateway.endpoint", g.Endpoint},
+	}
+	for _, a := range addresses {
+		c.address(a.key, a.value, false)
+	}
+}
+
 func (c *checker) controls(s *Settings) {
 	if len(s.Controls) == 0 || len(s.Controls) > maxControls {
 		c.fault("controls", "it needs the link addresses of 1 to %d control replicas", maxControls)
@@ -125,7 +140,7 @@
 			c.fault("controls", "%q stands twice", a)
 		}
 	}
-	if s.Holds(hsmessage.RoleControl) && s.Link != "" && len(s.Controls) > 0 && !slices.Contains(s.Controls, s.Link) {
+	if s.Holds(hsmessage.RoleControl) && s.Link != "" && len(s.Controls) > 0 && len(s.Seeds) == 0 && !slices.Contains(s.Controls, s.Link) {
 		c.fault("controls", "the process's own link address %q isn't among them", s.Link)
 	}
 }
@@ -146,6 +161,11 @@
 		{"control.ageNormal", s.Control.AgeNormal},
 		{"control.ageBatch", s.Control.AgeBatch},
 		{"control.coolDown", s.Control.CoolDown},
+		{"control.replaceAfter", s.Control.ReplaceAfter},
+		{"control.foundBefore", s.Control.FoundBefore},
+		{"work.hold", s.Work.Hold},
+		{"work.stop", s.Work.Stop},
+		{"work.interval", s.Work.Interval},
 		{"agent.interval", s.Agent.Interval},
 		{"agent.announce", s.Agent.Announce},
 	}
@@ -164,6 +184,15 @@
 	if n := s.Control.Replicas; n < 0 || n > maxReplicas {
 		c.fault("control.replicas", "%d is not from 1 to %d", n, maxReplicas)
 	}
+	if n := s.Control.Tolerate; n < 0 || 2*n+1 > maxReplicas {
+		c.fault("control.tolerate", "%d losses aren't from 0 to %d", n, (maxReplicas-1)/2)
+	}
+	if n := s.MemoryMB; n < 0 {
+		c.fault("memoryMb", "%d is below zero", n)
+	}
+	if n := s.LinkPort; n < 0 || n > 65535 {
+		c.fault("linkPort", "%d is no port", n)
+	}
 	if n := s.Control.SnapshotEvery; n < 0 {
 		c.fault("control.snapshotEvery", "%d is below zero", n)
 	}
--- a/io/hssettings/settings.go
+++ b/io/hssettings/settings.go
@@ -23,7 +23,9 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"net"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -57,16 +59,26 @@
 	// Listen is the address that Link leads to, when it is another one.
 	Listen hsstate.Peer `toml:"listen"`
 	// HTTP is where callers, operators and the endpoint connect.
-	HTTP       string         `toml:"http"`
-	Controls   []hsstate.Peer `toml:"controls"`
-	DataFolder string         `toml:"dataFolder"`
-	LogLevel   string         `toml:"logLevel"`
+	HTTP     string         `toml:"http"`
+	Controls []hsstate.Peer `toml:"controls"`
+	// Seeds are addresses of control processes that may stand in place of Controls; their ports are replaced
+	// by LinkPort.
+	Seeds    []string `toml:"seeds"`
+	LinkPort int      `toml:"linkPort"`
+	// Found has the control process at the first seed form the cluster when its data folder is empty.
+	Found bool `toml:"found"`
+	// MemoryMB is what the process may use in MiB; 0 for no limit.
+	MemoryMB   int    `toml:"memoryMb"`
+	DataFolder string `toml:"dataFolder"`
+	LogLevel   string `toml:"logLevel"`
 	// DrainDelay is how long a stopping process still takes requests after its health check fails.
 	DrainDelay Duration `toml:"drainDelay"`
 	// DrainTimeout bounds a graceful stop.
 	DrainTimeout Duration `toml:"drainTimeout"`
 	Control      Control  `toml:"control"`
 	Agent        Agent    `toml:"agent"`
+	Work         Work     `toml:"work"`
+	Gateway      Gateway  `toml:"gateway"`
 	TLS          TLS      `toml:"tls"`
 }
 
@@ -87,6 +99,39 @@
 	SnapshotEvery       int      `toml:"snapshotEvery"`
 	// MaxBatch bounds the log entries of one save and one message; 1 switches batching off.
 	MaxBatch int `toml:"maxBatch"`
+	// Tolerate is the number of disks that may be lost at once; it sets Replicas to 2 * Tolerate + 1.
+	Tolerate int `toml:"tolerate"`
+	// ReplaceAfter is how long a replica may be silent before a waiting newcomer replaces it; 0 for never.
+	ReplaceAfter Duration `toml:"replaceAfter"`
+	// FoundBefore bounds how long after the founding catalogs and step jobs wait for all replicas.
+	FoundBefore Duration `toml:"foundBefore"`
+}
+
+// Work holds the settings of step jobs; control and runners use the same.
+type Work struct {
+	// Hold is the longest lease that endpoints give; the run lease is a part of it.
+	Hold Duration `toml:"hold"`
+	// Stop is how long an endpoint takes to stop a run at most.
+	Stop Duration `toml:"stop"`
+	// Interval is the time between two tallies of a runner.
+	Interval Duration `toml:"interval"`
+}
+
+// leaseShare is the part of Hold, in percent, that a run lease lasts. The rest is for clocks that drift and
+// for the way of the messages.
+const leaseShare = 80
+
+// Lease returns the run lease; zero leaves it to the default.
+func (w Work) Lease() time.Duration { return time.Duration(w.Hold) * leaseShare / 100 }
+
+// Gateway holds the addresses of a front end beside the process's own interface; empty for none.
+type Gateway struct {
+	Callers       string `toml:"callers"`
+	Readiness     string `toml:"readiness"`
+	Operators     string `toml:"operators"`
+	Announcements string `toml:"announcements"`
+	// Endpoint is where the endpoint beside this process takes calls.
+	Endpoint string `toml:"endpoint"`
 }
 
 // Agent holds the settings of the agent role.
@@ -145,11 +190,31 @@
 	if err := decode(data, s); err != nil {
 		return nil, err
 	}
+	s.expand()
 	c := &checker{lines: strings.Split(string(data), "\n")}
 	c.check(s)
 	return s, errors.Join(c.faults...)
 }
 
+// expand fills in what follows from other settings.
+func (s *Settings) expand() {
+	if len(s.Controls) == 0 && s.LinkPort > 0 {
+		for _, a := range s.Seeds {
+			if host, _, err := net.SplitHostPort(a); err == nil {
+				s.Controls = append(s.Controls, hsstate.Peer(net.JoinHostPort(host, strconv.Itoa(s.LinkPort))))
+			}
+		}
+	}
+	if s.Control.Tolerate > 0 {
+		s.Control.Replicas = 2*s.Control.Tolerate + 1
+	}
+}
+
+// Founder reports whether this process is to form the cluster.
+func (s *Settings) Founder() bool {
+	return s.Found && s.Holds(hsmessage.RoleControl) && len(s.Seeds) > 0 && len(s.Controls) > 0 && s.Link == s.Controls[0]
+}
+
 // decode reads the TOML and refuses unknown keys, all of them at once.
 func decode(data []byte, s *Settings) error {
 	d := toml.NewDecoder(bytes.NewReader(data))
