--- a/core/command/hsdispatch/claim.go
+++ b/core/command/hsdispatch/claim.go
@@ -66,10 +66,10 @@
 	v := &victims{d: d, u: u}
 	var members []hswork.Member
 	if racks := d.nearRacks(u, rooms); racks != nil {
-		members = bestOf(u, rooms, racks, v.fit)
+		members = d.bestOf(u, rooms, racks, v.fit)
 	}
 	if members == nil {
-		members = spreadOver(u, rooms, "", v.fit)
+		members = d.spreadOver(u, rooms, "", v.fit)
 	}
 	if members == nil {
 		return
--- a/core/command/hsdispatch/place.go
+++ b/core/command/hsdispatch/place.go
@@ -19,14 +19,14 @@
 // their rack wait for it for as long as one of their tasks is declared to run.
 func (d *Dispatcher) place(u *unit, rooms []*room, now time.Time) []hswork.Member {
 	if racks := d.nearRacks(u, rooms); racks != nil {
-		if members := bestOf(u, rooms, racks, fits); members != nil {
+		if members := d.bestOf(u, rooms, racks, fits); members != nil {
 			return take(u, members, rooms)
 		}
 		if now.Sub(u.since) < d.patience(u) {
 			return nil
 		}
 	}
-	if members := spreadOver(u, rooms, "", fits); members != nil {
+	if members := d.spreadOver(u, rooms, "", fits); members != nil {
 		return take(u, members, rooms)
 	}
 	return nil
@@ -62,11 +62,11 @@
 }
 
 // bestOf places a unit on the one rack where it leaves the least unusable.
-func bestOf(u *unit, rooms []*room, racks []hswork.Label, fit fitting) []hswork.Member {
+func (d *Dispatcher) bestOf(u *unit, rooms []*room, racks []hswork.Label, fit fitting) []hswork.Member {
 	var best []hswork.Member
 	bestCost := 0.0
 	for _, rack := range racks {
-		members, cost := spreadCost(u, rooms, rack, fit)
+		members, cost := d.spreadCost(u, rooms, rack, fit)
 		if members != nil && (best == nil || cost < bestCost) {
 			best = members
 			bestCost = cost
@@ -104,15 +104,15 @@
 	return float64(part) / float64(whole)
 }
 
-func spreadOver(u *unit, rooms []*room, rack hswork.Label, fit fitting) []hswork.Member {
-	members, _ := spreadCost(u, rooms, rack, fit)
+func (d *Dispatcher) spreadOver(u *unit, rooms []*room, rack hswork.Label, fit fitting) []hswork.Member {
+	members, _ := d.spreadCost(u, rooms, rack, fit)
 	return members
 }
 
 // spreadCost places each task of a unit on the worker where it costs least, on one rack or on any.
-func spreadCost(u *unit, rooms []*room, rack hswork.Label, fit fitting) ([]hswork.Member, float64) {
+func (d *Dispatcher) spreadCost(u *unit, rooms []*room, rack hswork.Label, fit fitting) ([]hswork.Member, float64) {
 	left := map[hsid.InstanceID]hswork.Resources{}
-	counts := occupancy(u)
+	counts := d.occupancy(u)
 	total := 0.0
 	var members []hswork.Member
 	for _, t := range u.tasks {
@@ -166,8 +166,9 @@
 	return cost + weightSuspect*float64(r.worker.health.failures)/(10*suspectAfter)
 }
 
-// occupancy counts the tasks of the unit's step and occurrence on each worker.
-func occupancy(u *unit) map[hsid.InstanceID]int {
+// occupancy counts the tasks of the unit's step and occurrence on each worker, with those that are about to
+// start there.
+func (d *Dispatcher) occupancy(u *unit) map[hsid.InstanceID]int {
 	counts := map[hsid.InstanceID]int{}
 	if u.step.Spread == 0 {
 		return counts
@@ -178,6 +179,21 @@
 			counts[p.Worker]++
 		}
 	}
+	count := func(m hswork.Member) {
+		if m.Task.Work == first.Work && m.Task.Occurrence == first.Occurrence && m.Task.Step == first.Step {
+			counts[m.Worker]++
+		}
+	}
+	for _, s := range d.starting {
+		for _, m := range s.Members {
+			count(m)
+		}
+	}
+	for _, c := range d.claims {
+		for _, m := range c.members {
+			count(m)
+		}
+	}
 	return counts
 }
 
