--- a/cmd/hyssopseam-node/main.go
+++ b/cmd/hyssopseam-node/main.go
@@ -38,7 +38,7 @@
 	// memoryShare is the part of the memory, in percent, that the runtime keeps its heap within.
 	memoryShare = 70
 	// stopTime bounds the time until the front end has answered what it took.
-	stopTime = 4500 * time.Millisecond
+	stopTime = 4 * time.Second
 )
 
 func main() {
@@ -92,6 +92,7 @@
 	}
 	bounded, cancel := context.WithTimeout(context.Background(), stopTime)
 	defer cancel()
+	app.HandOver()
 	if err := gateway.Stop(bounded); err != nil {
 		hslog.Part(logger, "node").Warn("requests were still under way", "error", err)
 	}
--- a/core/command/hscontrol/work.go
+++ b/core/command/hscontrol/work.go
@@ -18,19 +18,22 @@
 	formRetry = time.Second
 )
 
-// proposer hands the dispatcher's commands to the log.
-type proposer struct {
+// workLog is the log as the dispatcher sees it.
+type workLog struct {
 	c *Control
 }
 
 // ProposeWork appends a command to the log.
-func (p proposer) ProposeWork(w *hswork.Command) bool {
-	_, ok := p.c.propose(hsstate.Command{Work: w})
+func (l workLog) ProposeWork(w *hswork.Command) bool {
+	_, ok := l.c.propose(hsstate.Command{Work: w})
 	return ok
 }
 
+// Clock returns the cluster time.
+func (l workLog) Clock() time.Duration { return l.c.replica.Clock() }
+
 func (c *Control) workPorts() hsdispatch.Ports {
-	return hsdispatch.Ports{Clock: c.ports.Clock, Sender: c.ports.Sender, Proposer: proposer{c}, Observer: c.ports.Work}
+	return hsdispatch.Ports{Clock: c.ports.Clock, Sender: c.ports.Sender, Log: workLog{c}, Observer: c.ports.Work}
 }
 
 // receiveTally hands a runner's tally to the dispatcher of this leadership.
--- a/core/command/hsdispatch/bed_test.go
+++ b/core/command/hsdispatch/bed_test.go
@@ -39,6 +39,8 @@
 	return true
 }
 
+func (b *bed) Clock() time.Duration { return b.now.Sub(time.UnixMilli(0)) }
+
 func (b *bed) Placed(*hswork.Start, time.Duration)                     {}
 func (b *bed) RunEnded(*hswork.End, hsid.InstanceID)                   {}
 func (b *bed) Preempted(hswork.RunID, hsid.InstanceID, hswork.ID)      {}
@@ -67,7 +69,7 @@
 func (b *bed) lead(term hsid.Term) {
 	c := hsdispatch.Config{Lease: lease, StopTimeout: 400 * time.Millisecond}
 	b.proposed = nil
-	b.dispatcher = hsdispatch.New(c, hsdispatch.Ports{Clock: b, Sender: b, Proposer: b, Observer: b}, b.state, term)
+	b.dispatcher = hsdispatch.New(c, hsdispatch.Ports{Clock: b, Sender: b, Log: b, Observer: b}, b.state, term)
 }
 
 // worker announces a worker on a rack with 32 cores, 128 GiB and 8 accelerators.
@@ -122,7 +124,7 @@
 
 func (b *bed) apply(c *hswork.Command) {
 	b.index++
-	hsflow.Apply(b.state, c, b.index, b.now.Sub(time.UnixMilli(0)))
+	hsflow.Apply(b.state, c, b.index, b.Clock())
 	b.dispatcher.Applied(c)
 }
 
--- a/core/command/hsdispatch/claim.go
+++ b/core/command/hsdispatch/claim.go
@@ -16,6 +16,16 @@
 	unseenWork = 5 * time.Second
 	// acceleratorCores is how many cores of work an accelerator stands for.
 	acceleratorCores = 8
+	// preemptAfter is how long a unit below priority 0 waits before others give way to it.
+	preemptAfter = time.Second
+	// shortWait is what a unit of priority 0 rather waits at once, and longestWait in all; with the time for a
+	// stop that is well within the time in which a guarantee has to be met.
+	shortWait   = 600 * time.Millisecond
+	longestWait = 1200 * time.Millisecond
+	// maxWait is what other units rather wait.
+	maxWait = 5 * time.Second
+	// lossShare bounds the work that is thrown away for a unit that isn't covered, in percent of its own.
+	lossShare = 100
 	// costOther multiplies the cost of uncovered runs of priority 0.
 	costOther = 4
 )
@@ -61,8 +71,30 @@
 	u *unit
 }
 
-// claimFor has runs give way that aren't covered, those that lose the least work first.
-func (d *Dispatcher) claimFor(u *unit, rooms []*room, now time.Time) {
+// mayPreempt reports whether others may have to give way to a unit: to what is covered or of priority 0 at
+// once, to the rest when it would be late otherwise.
+func (d *Dispatcher) mayPreempt(u *unit, now time.Time) bool {
+	switch {
+	case u.covered:
+		return true
+	case u.standing != onTime:
+		return false
+	case u.job.Priority == 0:
+		return true
+	}
+	return now.Sub(u.since) > preemptAfter
+}
+
+// waits returns how long a unit rather waits for room than has others give way.
+func (d *Dispatcher) waits(u *unit, now time.Time) time.Duration {
+	if u.covered || u.job.Priority == 0 {
+		return max(min(shortWait, longestWait-now.Sub(u.since)), 0)
+	}
+	return max(min(u.slack, maxWait), 0)
+}
+
+// claimFor has runs give way, those that lose the least work first, and reports whether that makes room.
+func (d *Dispatcher) claimFor(u *unit, rooms []*room, now time.Time) bool {
 	v := &victims{d: d, u: u}
 	var members []hswork.Member
 	if racks := d.nearRacks(u, rooms); racks != nil {
@@ -72,7 +104,10 @@
 		members = d.spreadOver(u, rooms, "", v.fit)
 	}
 	if members == nil {
-		return
+		return false
+	}
+	if !u.covered && v.loss(members, rooms) > v.budget() {
+		return false
 	}
 	free := map[hsid.InstanceID]hswork.Resources{}
 	for _, m := range members {
@@ -89,6 +124,36 @@
 	}
 	take(u, members, rooms)
 	d.claims[u.key()] = &claim{members: members, at: now}
+	return true
+}
+
+// loss returns the cost of what gives way for the members. What was chosen for one member counts again for
+// the next one on the same worker, which errs on the side of keeping work.
+func (v *victims) loss(members []hswork.Member, rooms []*room) float64 {
+	total := 0.0
+	free := map[hsid.InstanceID]hswork.Resources{}
+	for _, m := range members {
+		r := roomOf(rooms, m.Worker)
+		left, ok := free[m.Worker]
+		if !ok {
+			left = r.free
+		}
+		_, cost, _ := v.choose(r, left)
+		total += cost
+		free[m.Worker] = left.Minus(need(v.u.step))
+	}
+	return total
+}
+
+// budget returns the work, in core-seconds, that may be thrown away for the unit.
+func (v *victims) budget() float64 {
+	own := coresOf(v.u.step) * v.d.expectStep(v.u.job, v.u.step).Seconds() * float64(len(v.u.tasks))
+	return own * lossShare / 100
+}
+
+// coresOf returns what a task takes, in cores, with accelerators counted as cores.
+func coresOf(s *hswork.Step) float64 {
+	return float64(s.Need.Cores)/1000 + acceleratorCores*float64(s.Need.Accelerators)
 }
 
 // fit reports whether a task fits once others give way, and what that costs.
@@ -138,9 +203,18 @@
 	return chosen, total, true
 }
 
-// mayStop reports whether a run may give way to the unit.
+// mayStop reports whether a run may give way to the unit. Below priority 0 only runs that keep their
+// progress do.
 func (v *victims) mayStop(p placedRun) bool {
-	return !v.d.coveredJobs[p.job.ID]
+	switch {
+	case v.d.coveredJobs[p.job.ID]:
+		return false
+	case v.u.covered:
+		return true
+	case v.u.job.Priority == 0:
+		return p.job.Priority > 0
+	}
+	return p.job.Priority > v.u.job.Priority && p.step.Saves
 }
 
 // cost is the work in core-seconds that is lost when a run gives way; a gang gives way whole.
@@ -152,8 +226,7 @@
 	if p.step.Saves {
 		lost = min(lost, time.Second)
 	}
-	cores := float64(p.step.Need.Cores)/1000 + acceleratorCores*float64(p.step.Need.Accelerators)
-	cost := cores * lost.Seconds()
+	cost := coresOf(p.step) * lost.Seconds()
 	if p.step.Gang {
 		cost *= float64(p.step.Count)
 	}
--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -57,9 +57,12 @@
 	Send(to hsstate.Peer, m hsmessage.Message)
 }
 
-// Proposer appends a command to the log. It reports false when leadership was lost.
-type Proposer interface {
+// Log is the replicated log.
+type Log interface {
+	// ProposeWork appends a command. It reports false when leadership was lost.
 	ProposeWork(c *hswork.Command) bool
+	// Clock returns the cluster time.
+	Clock() time.Duration
 }
 
 // Observer is told of decisions, for logs and metrics. It must not block.
@@ -74,7 +77,7 @@
 type Ports struct {
 	Clock    Clock
 	Sender   Sender
-	Proposer Proposer
+	Log      Log
 	Observer Observer
 }
 
@@ -104,6 +107,7 @@
 	begun map[hswork.ID]bool
 	// coveredJobs are the open jobs that guarantees cover, as of the newest pass.
 	coveredJobs map[hswork.ID]bool
+	experiences map[hswork.QueueName]*experience
 
 	controls []hsstate.Peer
 	passDue  bool
@@ -127,6 +131,7 @@
 		ready:       map[hswork.TaskID]time.Time{},
 		began:       map[hswork.RunID]time.Time{},
 		begun:       map[hswork.ID]bool{},
+		experiences: map[hswork.QueueName]*experience{},
 		passDue:     true,
 	}
 }
@@ -157,6 +162,9 @@
 func (d *Dispatcher) appliedEnds(c *hswork.Ends) {
 	for i := range c.Ends {
 		run := c.Ends[i].Run
+		if c.Ends[i].How == hswork.EndDone {
+			d.learn(run, d.ports.Clock.Now())
+		}
 		delete(d.ending, run)
 		delete(d.stopping, run)
 		delete(d.began, run)
@@ -205,7 +213,7 @@
 
 // propose appends ends to the log and remembers them until they are applied.
 func (d *Dispatcher) propose(ends []hswork.End, worker hsid.InstanceID) {
-	if len(ends) == 0 || !d.ports.Proposer.ProposeWork(&hswork.Command{End: &hswork.Ends{Ends: ends}}) {
+	if len(ends) == 0 || !d.ports.Log.ProposeWork(&hswork.Command{End: &hswork.Ends{Ends: ends}}) {
 		return
 	}
 	for i := range ends {
--- a/core/command/hsdispatch/pass.go
+++ b/core/command/hsdispatch/pass.go
@@ -26,9 +26,11 @@
 			continue
 		}
 		full[same] = true
-		if u.covered {
-			d.claimFor(u, rooms, now)
+		soonest, at := d.soonest(u, rooms, now)
+		if at > d.waits(u, now) && d.mayPreempt(u, now) && d.claimFor(u, rooms, now) {
+			continue
 		}
+		d.reserve(soonest, at, rooms)
 	}
 }
 
@@ -41,7 +43,6 @@
 	dataRack hswork.Label
 	sameRack bool
 	spread   int
-	patient  bool
 }
 
 func shapeOf(u *unit) shape {
@@ -59,7 +60,7 @@
 // start proposes the start of a unit.
 func (d *Dispatcher) start(u *unit, members []hswork.Member, now time.Time) {
 	s := &hswork.Start{Number: u.number, Members: members}
-	if !d.ports.Proposer.ProposeWork(&hswork.Command{Start: s}) {
+	if !d.ports.Log.ProposeWork(&hswork.Command{Start: s}) {
 		return
 	}
 	d.starting[u.key()] = s
--- a/core/command/hsdispatch/place.go
+++ b/core/command/hsdispatch/place.go
@@ -122,6 +122,9 @@
 			if rack != "" && r.rack != rack || !r.suits(u.job.Pool, u.step) {
 				continue
 			}
+			if !u.covered && !r.reserved.admits(need(u.step), d.expectStep(u.job, u.step)) {
+				continue
+			}
 			if u.step.Spread > 0 && counts[r.worker.id] >= u.step.Spread {
 				continue
 			}
@@ -202,6 +205,9 @@
 	for _, m := range members {
 		r := roomOf(rooms, m.Worker)
 		r.free = r.free.Minus(need(u.step))
+		if r.reserved != nil {
+			r.reserved.spare = r.reserved.spare.Minus(need(u.step))
+		}
 	}
 	return members
 }
--- a/core/command/hsdispatch/place_test.go
+++ b/core/command/hsdispatch/place_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hswork"
 )
 
 func step(count int, cores hsid.MilliCores, accelerators hsid.Accelerators) hswork.Step {
-	return hswork.Step{Count: count, Need: hswork.Resources{Cores: cores, Memory: 8 * hsid.GiB, Accelerators: accelerators}}
+	return hswork.Step{Count: count, Estimate: 10 * time.Second, Need: hswork.Resources{Cores: cores, Memory: 8 * hsid.GiB, Accelerators: accelerators}}
 }
 
 func with(s hswork.Step, change func(s *hswork.Step)) hswork.Step {
--- a/core/command/hsdispatch/room.go
+++ b/core/command/hsdispatch/room.go
@@ -18,6 +18,8 @@
 	rack   hswork.Label
 	all    hswork.Resources
 	free   hswork.Resources
+	// reserved is set while the room is kept for a unit that waits.
+	reserved *reservation
 }
 
 // rooms returns the workers that take new runs of any pool, in order, with what nobody holds or claims.
--- a/core/command/hsdispatch/unit.go
+++ b/core/command/hsdispatch/unit.go
@@ -1,7 +1,6 @@
 package hsdispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -19,7 +18,10 @@
 	// covered is set for what the guarantee of its workspace covers.
 	covered bool
 	// since is when the unit was first seen ready.
-	since time.Time
+	since    time.Time
+	standing standing
+	// slack is how long the unit may still wait and be on time.
+	slack time.Duration
 }
 
 func (u *unit) key() hswork.TaskID { return u.tasks[0] }
@@ -46,27 +48,13 @@
 			u.since = since
 		}
 		ready[u.key()] = u.since
+		d.assess(u, now)
 	}
 	d.ready = ready
 	slices.SortStableFunc(all, compareUnits)
 	return all
 }
 
-func compareUnits(a, b *unit) int {
-	return cmp.Or(
-		-cmp.Compare(rank(a.covered), rank(b.covered)),
-		cmp.Compare(a.job.Priority, b.job.Priority),
-		cmp.Compare(a.job.Index, b.job.Index),
-	)
-}
-
-func rank(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // dueRounds returns how many occurrences of a job are due.
 func (d *Dispatcher) dueRounds(j *hswork.Job, now time.Time) int {
 	if j.Start == 0 {
--- a/core/command/hsrunner/runner.go
+++ b/core/command/hsrunner/runner.go
@@ -182,7 +182,7 @@
 		return time.Time{}
 	}
 	next := r.tallyAt
-	if l := r.current; l != nil {
+	if l := r.current; l != nil && l.goneAt.IsZero() {
 		if !l.holding && l.holdAt.Before(next) {
 			next = l.holdAt
 		}
--- a/io/hsapp/app.go
+++ b/io/hsapp/app.go
@@ -167,6 +167,9 @@
 	return a.Stop()
 }
 
+// HandOver gives up leadership ahead of a stop. Requests are passed on to the next leader until Stop.
+func (a *App) HandOver() { a.base.process.HandOver() }
+
 // Stop stops gracefully.
 func (a *App) Stop() error {
 	s := a.base.settings
--- a/io/hsdecision/book.go
+++ b/io/hsdecision/book.go
@@ -11,7 +11,9 @@
 package hsdecision
 
 import (
+	"fmt"
 	"log/slog"
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -67,9 +69,35 @@
 	if q.Catalog != nil {
 		line = append(line, "sent", q.Catalog.Version)
 	}
+	if q.Submission != nil {
+		line = append(line, "steps", describe(q.Submission))
+	}
 	b.log.Info("request decided", line...)
 }
 
+// describe says what a job asks for: for each step the tasks, what each takes, and what binds its place.
+func describe(s *hswork.Submission) string {
+	var all []string
+	for i := range s.Steps {
+		p := &s.Steps[i]
+		text := fmt.Sprintf("%dx%dm/%dMiB/%dacc/%s", p.Count, p.Need.Cores, p.Need.Memory/hsid.MiB, p.Need.Accelerators, p.Estimate)
+		flags := []struct {
+			set  bool
+			name string
+		}{
+			{p.Gang, "gang"}, {p.SameRack, "rack"}, {p.DataRack != "", "data"}, {p.Label != "", "label"},
+			{p.Spread > 0, "spread"}, {p.Saves, "saves"}, {p.Speculative, "copies"}, {p.Lasts, "lasts"}, {p.Fills, "fills"},
+		}
+		for _, f := range flags {
+			if f.set {
+				text += "+" + f.name
+			}
+		}
+		all = append(all, text)
+	}
+	return strings.Join(all, " ")
+}
+
 // Placed records the start of a unit.
 func (b *Book) Placed(s *hswork.Start, waited time.Duration) {
 	b.waits.Observe(waited.Seconds())
--- a/io/hsprocess/input.go
+++ b/io/hsprocess/input.go
@@ -212,6 +212,17 @@
 	return nil
 }
 
+// HandOver has the control role give up leadership; the other roles go on.
+func (p *Process) HandOver() { p.put(handingOver{}) }
+
+type handingOver struct{}
+
+func (handingOver) apply(p *Process) {
+	if p.control != nil {
+		p.control.Drain()
+	}
+}
+
 func (p *Process) await(ctx context.Context, done func() bool) error {
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
