--- a/core/command/hsdispatch/claim.go
+++ b/core/command/hsdispatch/claim.go
@@ -153,7 +153,11 @@
 
 // coresOf returns what a task takes, in cores, with accelerators counted as cores.
 func coresOf(s *hswork.Step) float64 {
-	return float64(s.Need.Cores)/1000 + acceleratorCores*float64(s.Need.Accelerators)
+	return coresOfNeed(s.Need)
+}
+
+func coresOfNeed(r hswork.Resources) float64 {
+	return float64(r.Cores)/1000 + acceleratorCores*float64(r.Accelerators)
 }
 
 // fit reports whether a task fits once others give way, and what that costs.
--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -107,6 +107,8 @@
 	begun map[hswork.ID]bool
 	// coveredJobs are the open jobs that guarantees cover, as of the newest pass.
 	coveredJobs map[hswork.ID]bool
+	// cores is what all usable workers have, with accelerators counted as cores.
+	cores       float64
 	experiences map[hswork.QueueName]*experience
 
 	controls []hsstate.Peer
--- a/core/command/hsdispatch/order.go
+++ b/core/command/hsdispatch/order.go
@@ -10,6 +10,9 @@
 // lateFactor is how many times its latency objective a job may take and still be worth something.
 const lateFactor = 3
 
+// bulkFactor weighs the size of a job against its slack.
+const bulkFactor = 2
+
 // standing tells how a job stands with its latency objective.
 type standing int
 
@@ -39,7 +42,7 @@
 func (d *Dispatcher) assess(u *unit, now time.Time) {
 	age := d.age(u.job, u.tasks[0].Occurrence, now)
 	objective := d.objective(u.job)
-	u.slack = objective - age - d.chain(u.job)
+	u.slack = objective - age - d.chain(u.job) + d.bulk(u.job)
 	switch {
 	case age > lateFactor*objective:
 		u.standing = overdue
@@ -48,6 +51,20 @@
 	}
 }
 
+// bulk returns how long all workers together would be busy with a job. It stands back by that much: whoever
+// needs little isn't kept waiting by one that needs all.
+func (d *Dispatcher) bulk(j *hswork.Job) time.Duration {
+	var busy float64
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		busy += coresOf(s) * float64(s.Count) * d.expectStep(j, s).Seconds()
+	}
+	if d.cores <= 0 {
+		return 0
+	}
+	return time.Duration(bulkFactor * busy / d.cores * float64(time.Second))
+}
+
 // compareUnits orders units: covered ones first, then by priority, those that can still be on time before
 // the others, and among equals the one that has to start first.
 func compareUnits(a, b *unit) int {
--- a/core/command/hsdispatch/room.go
+++ b/core/command/hsdispatch/room.go
@@ -31,6 +31,10 @@
 			rooms = append(rooms, &room{worker: w, rack: rackOf(e.Labels), all: e.Capacity, free: e.Capacity.Minus(d.used(w))})
 		}
 	}
+	d.cores = 0
+	for _, r := range rooms {
+		d.cores += coresOfNeed(r.all)
+	}
 	slices.SortFunc(rooms, func(a, b *room) int { return strings.Compare(string(a.worker.id), string(b.worker.id)) })
 	taken := func(m hswork.Member) {
 		if r := roomOf(rooms, m.Worker); r != nil {
