hsrunner: nothing is started or noted while it isn't sure that the endpoint's life goes on

Found by the fuzzer: an endpoint reborn under its name took a hold that noted ends of its earlier life and forgot two failures that nobody had seen; the task began after its last allowed failure. From an unanswered call until a hold shows the same life, holds note nothing and nothing is started.

--- a/core/command/hsrunner/life.go
+++ b/core/command/hsrunner/life.go
@@ -41,6 +41,9 @@
 	// goneAt is when the endpoint said goodbye; zero while it didn't.
 	goneAt time.Time
 	over   bool
+	// unsure is set from an unanswered call until a hold shows that this life still goes on. Meanwhile nothing is
+	// started and no end is noted: the next life, under the same name, would take both for its own.
+	unsure bool
 
 	calls    map[hswork.RunID]*call
 	nextCall time.Time
--- a/core/command/hsrunner/reconcile.go
+++ b/core/command/hsrunner/reconcile.go
@@ -56,11 +56,14 @@
 
 // hold asks the endpoint for its lists, and extends its lease as far as the leader's grant goes.
 func (r *Runner) hold(l *life, now time.Time) {
-	urgent := l.noted < r.notable(l) || l.heldTerm < r.term
+	urgent := !l.unsure && l.noted < r.notable(l) || l.heldTerm < r.term
 	if l.holding && !urgent || !l.holding && now.Before(l.holdAt) && !urgent {
 		return
 	}
 	c := l.newHold(r.notable(l), r.term)
+	if l.unsure {
+		c.Noted = 0
+	}
 	if !l.holding {
 		c.Main = true
 		l.holding = true
@@ -68,7 +71,7 @@
 			c.Wait = holdWait
 		}
 	}
-	l.noted = c.Noted
+	l.noted = max(l.noted, c.Noted)
 	l.heldTerm = r.term
 	if r.mayExtend(l, now) {
 		c.Deadline = l.deadlineAt(r.leaseUntil)
@@ -126,7 +129,7 @@
 	if l.isRunning(p.Run) || l.hasEnded(p.Run) || l.never[p.Run] || r.sealed[p.Run] || p.Spec == "" && l.calls[p.Run] == nil {
 		return false
 	}
-	if _, refused := l.refused[p.Run]; refused || l.endpoint.Leaving {
+	if _, refused := l.refused[p.Run]; refused || l.endpoint.Leaving || l.unsure {
 		return false
 	}
 	return r.mayExtend(l, now)
@@ -219,6 +222,8 @@
 	c.waiting = false
 	c.at = r.ports.Clock.Now().Add(callPause)
 	switch res.Verdict {
+	case CallNoAnswer:
+		l.unsure = true
 	case CallDone:
 		if !l.isRunning(run) && !l.hasEnded(run) {
 			l.running = append(l.running, hsmessage.RunningTask{Run: run})
@@ -250,7 +255,7 @@
 	c.at = r.ports.Clock.Now().Add(callPause)
 	if res.Verdict == CallDone || res.Verdict == CallOld {
 		// Only lists that are asked for from now on show what the stop has done.
-		peek := l.newHold(l.noted, r.term)
+		peek := l.newHold(0, r.term)
 		c.settledBy = peek.Number
 		r.ports.Endpoint.Hold(peek)
 	}
@@ -276,8 +281,10 @@
 	}
 	if res.Verdict != CallDone || res.Life != l.endpoint.Life {
 		l.holdAt = now.Add(holdPause)
+		l.unsure = true
 	} else {
 		l.answered = now
+		l.unsure = false
 		l.over = l.over && !l.goneAt.IsZero()
 		r.takeLists(l, res)
 	}
