--- a/core/command/hsquorum/leader.go
+++ b/core/command/hsquorum/leader.go
@@ -18,6 +18,8 @@
 	busy bool
 	// rounds are the unanswered rounds, oldest first.
 	rounds []sentRound
+	// added is when this leader began to send to the replica.
+	added time.Time
 	// acked is when the newest answered round was sent.
 	acked time.Time
 	// offset is the part of the snapshot that the replica holds.
@@ -49,7 +51,7 @@
 		if m.ID == r.config.ID || r.peers[m.ID] != nil {
 			continue
 		}
-		r.peers[m.ID] = &progress{address: m.Address, next: r.log.last() + 1}
+		r.peers[m.ID] = &progress{address: m.Address, next: r.log.last() + 1, added: r.ports.Clock.Now()}
 	}
 	for id := range r.peers {
 		if hsstate.MemberIndex(r.members, id) < 0 {
--- a/core/command/hsquorum/membership.go
+++ b/core/command/hsquorum/membership.go
@@ -63,16 +63,16 @@
 	return p != nil && r.ports.Clock.Now().Sub(p.acked) < 2*r.config.Election
 }
 
-// Silence returns, on a leader, how long ago a replica last answered; before its first answer, how long this
-// one has led.
+// Silence returns, on a leader, how long ago a replica last answered; before its first answer, how long it
+// has been sent to.
 func (r *Replica) Silence(id hsid.ReplicaID) time.Duration {
 	p := r.peers[id]
 	if id == r.config.ID || p == nil {
 		return 0
 	}
 	last := p.acked
-	if last.Before(r.ledSince) {
-		last = r.ledSince
+	if last.Before(p.added) {
+		last = p.added
 	}
 	return r.ports.Clock.Now().Sub(last)
 }
--- /dev/null
+++ b/test/whole/member_test.go
@@ -0,0 +1,187 @@
+package whole
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"hyssopseam/core/command/hscontrol"
+	"hyssopseam/core/hsstate"
+	"hyssopseam/internal/play"
+)
+
+const (
+	// tolerated is how many disks may be lost at once.
+	tolerated = 2
+	// mended is how long after a loss it no longer counts.
+	mended = 4 * time.Second
+)
+
+// memberBench is a cluster of five control replicas whose disks are lost.
+type memberBench struct {
+	*workBench
+	// lostAt is when each replica last lost its disk, power or links; it counts as lost until mended after its
+	// return.
+	lost  map[int]bool
+	since map[int]time.Duration
+	steps int
+}
+
+func newMemberBench(t *rapid.T) *memberBench {
+	control := hscontrol.Config{ReplaceAfter: 1500 * time.Millisecond}
+	control.Quorum.SnapshotEvery = rapid.SampledFrom([]int{10, 1000}).Draw(t, "snapshotEvery")
+	control.Quorum.Retain = 4
+	w := play.New(play.Config{
+		Seed:     rapid.Uint64().Draw(t, "seed"),
+		Controls: 2*tolerated + 1,
+		Control:  control,
+		Interval: 500 * time.Millisecond,
+		SyncTime: time.Duration(rapid.SampledFrom([]int{1, 6, 60}).Draw(t, "sync")) * time.Millisecond,
+		Lose:     rapid.SampledFrom([]float64{0, 0.03}).Draw(t, "lose"),
+		Double:   0.03,
+		Late:     rapid.SampledFrom([]float64{0, 0.03}).Draw(t, "late"),
+		Drift:    0.015,
+		Copy:     true,
+	})
+	b := &memberBench{workBench: &workBench{t: t, w: w}, lost: map[int]bool{}, since: map[int]time.Duration{}}
+	w.Run(5 * time.Second)
+	b.put()
+	w.Run(2 * time.Second)
+	return b
+}
+
+// lose reports whether one more replica may be lost, and notes it.
+func (b *memberBench) lose(i int) bool {
+	count := 0
+	for k, n := range b.w.Controls {
+		if k != i && (b.lost[k] || n.Role() == nil || b.w.Now()-b.since[k] < mended && b.since[k] > 0) {
+			count++
+		}
+	}
+	if count >= tolerated {
+		return false
+	}
+	b.lost[i] = true
+	return true
+}
+
+// back notes that a replica is whole again.
+func (b *memberBench) back(i int) {
+	b.lost[i] = false
+	b.since[i] = b.w.Now()
+}
+
+func (b *memberBench) step() {
+	t, w := b.t, b.w
+	b.steps++
+	i := rapid.IntRange(0, len(w.Controls)-1).Draw(t, "control")
+	n := w.Controls[i]
+	switch kind := rapid.IntRange(0, 99).Draw(t, "step"); {
+	case kind < 40:
+		w.Run(time.Duration(rapid.IntRange(1, 1500).Draw(t, "milliseconds")) * time.Millisecond)
+	case kind < 60:
+		b.put()
+	case kind < 70:
+		b.read()
+	case kind < 75:
+		if n.Role() != nil && b.lose(i) {
+			n.Crash(rapid.Bool().Draw(t, "written"))
+		}
+	case kind < 82:
+		if b.lose(i) {
+			n.Wipe()
+		}
+	case kind < 84:
+		// Two disks are lost and all others lose power, right after an acknowledgement or whenever it comes.
+		b.disaster(i)
+	case kind < 87:
+		if n.Role() != nil && b.lose(i) {
+			w.Isolate(n.Peer())
+		}
+	case kind < 90:
+		w.Heal()
+		for k := range w.Controls {
+			if b.lost[k] && w.Controls[k].Role() != nil {
+				b.back(k)
+			}
+		}
+	default:
+		if n.Role() == nil {
+			n.Start()
+			b.back(i)
+		}
+	}
+}
+
+// disaster wipes as many disks as are tolerated while all other replicas lose power, and starts all again.
+func (b *memberBench) disaster(first int) {
+	for k := range b.w.Controls {
+		if b.lost[k] || b.w.Controls[k].Role() == nil || b.since[k] > 0 && b.w.Now()-b.since[k] < mended {
+			return
+		}
+	}
+	for k, n := range b.w.Controls {
+		if k == first || k == (first+1)%len(b.w.Controls) {
+			n.Wipe()
+			continue
+		}
+		n.Crash(rapid.Bool().Draw(b.t, "written"))
+	}
+	for k, n := range b.w.Controls {
+		n.Start()
+		b.back(k)
+	}
+}
+
+// settle brings everything back and checks that the cluster is whole and has kept what it acknowledged.
+func (b *memberBench) settle() {
+	w := b.w
+	w.Heal()
+	w.Faultless()
+	for _, n := range w.Controls {
+		n.Start()
+	}
+	whole := func() bool {
+		l := w.Leader()
+		if l == nil || len(l.Replica().Members()) != len(w.Controls) || len(hsstate.Voters(l.Replica().Members())) != len(w.Controls) {
+			return false
+		}
+		for _, m := range l.Replica().Members() {
+			if !l.Replica().Alive(m.ID) || !l.Replica().CaughtUp(m.ID) {
+				return false
+			}
+		}
+		return true
+	}
+	if !w.Await(40*time.Second, whole) {
+		b.t.Fatalf("the cluster isn't whole again: %s", b.members())
+	}
+	if got := w.Leader().State().Work.Catalog.Version; got < b.acknowledged {
+		b.t.Fatalf("got catalog %d, want %d, which was acknowledged, or later", got, b.acknowledged)
+	}
+}
+
+func (b *memberBench) members() string {
+	text := ""
+	for _, n := range b.w.Controls {
+		if r := n.Role(); r != nil {
+			text += fmt.Sprintf("%s: %s term %d members %v; ", n.Peer(), r.Replica().Role(), r.Replica().Term(), r.Replica().Members())
+		}
+	}
+	return text
+}
+
+// TestMembers loses, wipes, cuts off and restarts five control replicas, never more than two at once counting
+// those that came back a short while ago, and now and then two disks while all others lose power. What was
+// acknowledged stays, and the cluster becomes whole again without an operator.
+func TestMembers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newMemberBench(t)
+		for range rapid.IntRange(30, 200).Draw(t, "steps") {
+			b.step()
+		}
+		b.settle()
+	})
+}
