--- a/cmd/hyssopseam-node/main.go
+++ b/cmd/hyssopseam-node/main.go
@@ -4,8 +4,8 @@
 //
 //	hyssopseam-node --config FILE
 //
-// It runs until SIGTERM or SIGINT and then stops gracefully. SIGHUP has it read its settings again and say
-// whether they are right; a restart puts them in force. It exits 0 after a graceful stop, 1 after a failure,
+// It runs until SIGTERM or SIGINT and then stops gracefully. On SIGHUP, and when the file
+// has changed, it reads its settings again and puts the control replicas that they name in force. It exits 0 after a graceful stop, 1 after a failure,
 // and 2 for wrong usage or settings.
 package main
 
@@ -37,6 +37,8 @@
 	exitUsage   = 2
 	// memoryShare is the part of the memory, in percent, that the runtime keeps its heap within.
 	memoryShare = 70
+	// watchInterval is the time between two looks at the settings file, which may change without a signal.
+	watchInterval = 5 * time.Second
 	// stopTime bounds the time until the front end has answered what it took.
 	stopTime = 4 * time.Second
 )
@@ -78,7 +80,7 @@
 	gateway := hsgateway.New(s.Gateway, app.Process(), hslog.Part(logger, "gateway"))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go reload(ctx, config, hslog.Part(logger, "node"))
+	go reload(ctx, config, app.Process(), hslog.Part(logger, "node"))
 	if err := app.Start(); err != nil {
 		return err
 	}
@@ -110,21 +112,41 @@
 	}
 }
 
-// reload reads the settings again on SIGHUP.
-func reload(ctx context.Context, config string, log *slog.Logger) {
+// reload reads the settings again on SIGHUP and when the file has changed. The control replicas that they name
+// are put in force; the rest is, at the next start.
+func reload(ctx context.Context, config string, p *hsprocess.Process, log *slog.Logger) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	seen := modified(config)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hup:
+		case <-ticker.C:
+			if modified(config).Equal(seen) {
+				continue
+			}
 		}
-		if _, err := hssettings.Load(config); err != nil {
+		seen = modified(config)
+		s, err := hssettings.Load(config)
+		if err != nil {
 			log.Error("settings can't be used", "error", err)
 			continue
 		}
-		log.Info("settings were read again")
+		log.Info("settings were read again", "controls", s.Controls)
+		p.Learn(s.Controls)
 	}
 }
+
+// modified returns when the file was last changed; the zero time when that can't be told.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/core/command/hscontrol/control.go
+++ b/core/command/hscontrol/control.go
@@ -59,6 +59,13 @@
 // Leading reports whether this replica may act as the leader.
 func (c *Control) Leading() bool { return c.lead != nil && c.replica.Leading() }
 
+// Learn replaces the control replicas that a newcomer offers itself to.
+func (c *Control) Learn(controls []hsstate.Peer) {
+	if len(controls) > 0 {
+		c.config.Controls = controls
+	}
+}
+
 // Receive takes a message from another process.
 func (c *Control) Receive(from hsstate.Peer, m hsmessage.Message) {
 	switch m := m.(type) {
--- a/core/command/hsentry/entry.go
+++ b/core/command/hsentry/entry.go
@@ -211,6 +211,9 @@
 // Leader returns where the entry takes the leader to be; empty when it doesn't know.
 func (e *Entry) Leader() hsstate.Peer { return e.holder.Leader() }
 
+// Learn replaces the control replicas that are known.
+func (e *Entry) Learn(controls []hsstate.Peer) { e.holder.Learn(controls) }
+
 // Receive takes a message of a control replica.
 func (e *Entry) Receive(from hsstate.Peer, m hsmessage.Message) {
 	switch m := m.(type) {
--- a/core/command/hsrunner/runner.go
+++ b/core/command/hsrunner/runner.go
@@ -126,6 +126,9 @@
 	return r.current.endpoint.ID, true
 }
 
+// Learn replaces the control replicas that are known.
+func (r *Runner) Learn(controls []hsstate.Peer) { r.holder.Learn(controls) }
+
 // Receive takes a message of a control replica.
 func (r *Runner) Receive(from hsstate.Peer, m hsmessage.Message) {
 	switch m := m.(type) {
--- a/io/hsprocess/input.go
+++ b/io/hsprocess/input.go
@@ -215,6 +215,25 @@
 // HandOver has the control role give up leadership; the other roles go on.
 func (p *Process) HandOver() { p.put(handingOver{}) }
 
+// Learn replaces the control replicas that the roles know from the settings.
+func (p *Process) Learn(controls []hsstate.Peer) { p.put(learned{controls: controls}) }
+
+type learned struct {
+	controls []hsstate.Peer
+}
+
+func (in learned) apply(p *Process) {
+	if p.control != nil {
+		p.control.Learn(in.controls)
+	}
+	if p.entry != nil {
+		p.entry.Learn(in.controls)
+	}
+	if p.runner != nil {
+		p.runner.Learn(in.controls)
+	}
+}
+
 type handingOver struct{}
 
 func (handingOver) apply(p *Process) {
--- a/test/layers/layers_test.go
+++ b/test/layers/layers_test.go
@@ -78,7 +78,10 @@
 		{"core/query", []string{module + "/core/command"}},
 		{"io/query", []string{module + "/core/command/hscontrol", module + "/io/command"}},
 		{"core/hsstate", []string{module + "/core/command", module + "/core/query"}},
-		{"io", []string{module + "/internal", module + "/cmd", "os/exec"}},
+		{"io", []string{module + "/internal", module + "/cmd", module + "/platform", "os/exec"}},
+		{"core", []string{module + "/platform"}},
+		{"platform", []string{module + "/internal", module + "/cmd", module + "/core/command/hscontrol", "os/exec"}},
+		{"platform/query", []string{module + "/platform/command"}},
 		{"cmd", []string{"os/exec"}},
 	}
 	for _, tt := range tables {
