--- a/core/command/hsdispatch/bed_test.go
+++ b/core/command/hsdispatch/bed_test.go
@@ -44,6 +44,8 @@
 func (b *bed) Placed(*hswork.Start, time.Duration)                     {}
 func (b *bed) RunEnded(*hswork.End, hsid.InstanceID)                   {}
 func (b *bed) Preempted(hswork.RunID, hsid.InstanceID, hswork.ID)      {}
+func (b *bed) Stalled(hswork.RunID, hsid.InstanceID)                   {}
+func (b *bed) Moved(hswork.RunID, hsid.InstanceID)                     {}
 func (b *bed) WorkerChanged(hsid.InstanceID, hsmessage.Endpoint, bool) {}
 
 const lease = 8 * time.Second
--- a/core/command/hsdispatch/claim.go
+++ b/core/command/hsdispatch/claim.go
@@ -88,7 +88,7 @@
 // waits returns how long a unit rather waits for room than has others give way.
 func (d *Dispatcher) waits(u *unit, now time.Time) time.Duration {
 	if u.covered || u.job.Priority == 0 {
-		return max(min(shortWait, longestWait-now.Sub(u.since)), 0)
+		return max(min(shortWait, longestWait-now.Sub(u.since), u.slack-d.config.StopTimeout), 0)
 	}
 	return max(min(u.slack, maxWait), 0)
 }
@@ -118,7 +118,8 @@
 		}
 		runs, _, _ := v.choose(r, left)
 		for _, p := range runs {
-			d.giveWay(p, u.job.ID)
+			d.ports.Observer.Preempted(p.run, p.place.Worker, u.job.ID)
+			d.giveWay(p)
 		}
 		free[m.Worker] = left.Minus(need(u.step))
 	}
@@ -241,8 +242,7 @@
 }
 
 // giveWay has a run stopped, with the other members of its gang.
-func (d *Dispatcher) giveWay(p placedRun, by hswork.ID) {
-	d.ports.Observer.Preempted(p.run, p.place.Worker, by)
+func (d *Dispatcher) giveWay(p placedRun) {
 	tasks := []hswork.Task{*p.task}
 	if p.step.Gang {
 		tasks = p.job.Rounds[p.run.Task.Occurrence].Steps[p.run.Task.Step]
--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -70,6 +70,8 @@
 	Placed(s *hswork.Start, waited time.Duration)
 	RunEnded(e *hswork.End, worker hsid.InstanceID)
 	Preempted(run hswork.RunID, worker hsid.InstanceID, by hswork.ID)
+	Stalled(run hswork.RunID, worker hsid.InstanceID)
+	Moved(run hswork.RunID, worker hsid.InstanceID)
 	WorkerChanged(id hsid.InstanceID, endpoint hsmessage.Endpoint, usable bool)
 }
 
@@ -105,6 +107,8 @@
 	// began is when each run was first seen at work.
 	began map[hswork.RunID]time.Time
 	begun map[hswork.ID]bool
+	// progress is what was last seen of each run at work.
+	progress map[hswork.RunID]progress
 	// coveredJobs are the open jobs that guarantees cover, as of the newest pass.
 	coveredJobs map[hswork.ID]bool
 	// cores is what all usable workers have, with accelerators counted as cores.
@@ -133,6 +137,7 @@
 		ready:       map[hswork.TaskID]time.Time{},
 		began:       map[hswork.RunID]time.Time{},
 		begun:       map[hswork.ID]bool{},
+		progress:    map[hswork.RunID]progress{},
 		experiences: map[hswork.QueueName]*experience{},
 		passDue:     true,
 	}
@@ -170,6 +175,7 @@
 		delete(d.ending, run)
 		delete(d.stopping, run)
 		delete(d.began, run)
+		delete(d.progress, run)
 		d.planForJob(run.Task.Work)
 	}
 	for id, w := range d.workers {
@@ -208,6 +214,7 @@
 		d.passDue = false
 		d.passAt = d.ports.Clock.Now()
 		d.endLost(d.passAt)
+		d.moveStalled(d.passAt)
 		d.schedule(d.passAt)
 	}
 	d.sendPlans()
--- a/core/command/hsdispatch/room.go
+++ b/core/command/hsdispatch/room.go
@@ -27,6 +27,7 @@
 	var rooms []*room
 	for _, w := range d.workers {
 		if usableTally(&w.tally) && now.Sub(w.heard) < silence {
+			w.health.forgive(now)
 			e := &w.tally.Endpoint
 			rooms = append(rooms, &room{worker: w, rack: rackOf(e.Labels), all: e.Capacity, free: e.Capacity.Minus(d.used(w))})
 		}
--- a/core/command/hsdispatch/worker.go
+++ b/core/command/hsdispatch/worker.go
@@ -76,6 +76,7 @@
 			d.began[r.Run] = w.heard
 		}
 	}
+	d.watch(&t, w.heard)
 	d.takeEnds(w)
 	d.note(w)
 }
@@ -95,7 +96,7 @@
 	}
 	for _, e := range t.Ended {
 		if d.wanted(w, e) {
-			w.health.ended(e.How)
+			w.health.ended(e.How, w.heard)
 			add(hswork.End{Run: e.Run, How: e.How, Checkpoint: e.Checkpoint})
 		}
 	}
@@ -111,7 +112,7 @@
 	for _, r := range t.Refused {
 		if d.placeOn(w, r.Run) != nil && !d.stopping[r.Run] {
 			d.stopping[r.Run] = true
-			w.health.refused()
+			w.health.failed(w.heard)
 		}
 	}
 	for _, p := range d.placedOn(w.id) {
--- a/internal/play/control.go
+++ b/internal/play/control.go
@@ -183,5 +183,11 @@
 // Preempted does nothing.
 func (silent) Preempted(hswork.RunID, hsid.InstanceID, hswork.ID) {}
 
+// Stalled does nothing.
+func (silent) Stalled(hswork.RunID, hsid.InstanceID) {}
+
+// Moved does nothing.
+func (silent) Moved(hswork.RunID, hsid.InstanceID) {}
+
 // WorkerChanged does nothing.
 func (silent) WorkerChanged(hsid.InstanceID, hsmessage.Endpoint, bool) {}
--- a/internal/play/endpoint.go
+++ b/internal/play/endpoint.go
@@ -412,7 +412,9 @@
 	r.Verdict = hsrunner.CallDone
 	r.Clock = e.clock()
 	for _, x := range e.sorted() {
-		r.Running = append(r.Running, hsmessage.RunningTask{Run: x.Run})
+		// Each list shows more progress than the one before.
+		percent := hswork.Percent((e.w.now - x.Began).Milliseconds() / 100 % 100)
+		r.Running = append(r.Running, hsmessage.RunningTask{Run: x.Run, Percent: percent})
 	}
 	return r
 }
--- a/io/hsdecision/book.go
+++ b/io/hsdecision/book.go
@@ -118,6 +118,16 @@
 	b.log.Info("run gives way", "run", run, "worker", worker, "for", by)
 }
 
+// Stalled records that a run made no progress and is stopped.
+func (b *Book) Stalled(run hswork.RunID, worker hsid.InstanceID) {
+	b.log.Warn("run makes no progress", "run", run, "worker", worker)
+}
+
+// Moved records that a run is stopped because its worker leaves.
+func (b *Book) Moved(run hswork.RunID, worker hsid.InstanceID) {
+	b.log.Info("run leaves with its checkpoint", "run", run, "worker", worker)
+}
+
 // WorkerChanged records that a worker became usable, or isn't any more.
 func (b *Book) WorkerChanged(id hsid.InstanceID, e hsmessage.Endpoint, usable bool) {
 	b.log.Info("worker changed", "worker", id, "endpoint", e.ID, "life", e.Life, "leaving", e.Leaving, "usable", usable)
