--- a/cmd/hyssopseam-node/main.go
+++ b/cmd/hyssopseam-node/main.go
@@ -23,11 +23,15 @@
 
 	"github.com/peterbourgon/ff/v3"
 
+	"hyssopseam/core/command/hsdispatch"
 	"hyssopseam/core/command/hsrunner"
+	"hyssopseam/core/command/hsupkeep"
 	"hyssopseam/io/hsapp"
 	"hyssopseam/io/hslog"
 	"hyssopseam/io/hsprocess"
 	"hyssopseam/io/hssettings"
+	"hyssopseam/platform/command/hsadviser"
+	"hyssopseam/platform/command/hsmachine"
 	"hyssopseam/platform/command/hsworker"
 	"hyssopseam/platform/hsgateway"
 )
@@ -73,7 +77,7 @@
 	out := hslog.NewQueue(os.Stdout)
 	defer out.Close()
 	logger := hslog.New(out, level)
-	app, err := hsapp.New(s, logger, endpoints(s))
+	app, err := hsapp.New(s, logger, clients(s, logger))
 	if err != nil {
 		return err
 	}
@@ -101,15 +105,26 @@
 	return app.Stop()
 }
 
-// endpoints returns how the client of the worker is made.
-func endpoints(s *hssettings.Settings) hsapp.Endpoints {
-	return func(p *hsprocess.Process, log *slog.Logger) hsrunner.Endpoint {
-		var source []byte
-		if a, err := netip.ParseAddrPort(s.HTTP); err == nil {
-			source = a.Addr().AsSlice()
-		}
+// clients returns how the clients of the platform are made.
+func clients(s *hssettings.Settings, log *slog.Logger) hsapp.Clients {
+	var source []byte
+	if a, err := netip.ParseAddrPort(s.HTTP); err == nil {
+		source = a.Addr().AsSlice()
+	}
+	c := hsapp.Clients{Endpoint: func(p *hsprocess.Process) hsrunner.Endpoint {
 		return hsworker.New(p, source, hslog.Part(log, "worker"))
+	}}
+	if s.Gateway.Advice != "" {
+		c.Adviser = func(p *hsprocess.Process) hsdispatch.Adviser {
+			return hsadviser.New(s.Gateway.Advice, source, p, hslog.Part(log, "adviser"))
+		}
+	}
+	if s.Gateway.Machines != "" {
+		c.Machines = func(p *hsprocess.Process) hsupkeep.Machines {
+			return hsmachine.New(s.Gateway.Machines, source, p, hslog.Part(log, "machines"))
+		}
 	}
+	return c
 }
 
 // reload reads the settings again on SIGHUP and when the file has changed. The control replicas that they name
--- a/cmd/hyssopseamd/main.go
+++ b/cmd/hyssopseamd/main.go
@@ -124,7 +124,7 @@
 			return usageError{err}
 		}
 	}
-	app, err := hsapp.New(s, hslog.New(os.Stderr, level), nil)
+	app, err := hsapp.New(s, hslog.New(os.Stderr, level), hsapp.Clients{})
 	if err != nil {
 		return err
 	}
--- a/core/command/hscontrol/applied.go
+++ b/core/command/hscontrol/applied.go
@@ -31,6 +31,9 @@
 		c.lead.passDue = true
 	case x.Work != nil:
 		c.lead.work.Applied(x.Work)
+		if x.Work.Upkeep != nil {
+			c.lead.upkeep.Applied(x.Work.Upkeep)
+		}
 	}
 	c.answerProposal(e.Index, r)
 }
--- a/core/command/hscontrol/config.go
+++ b/core/command/hscontrol/config.go
@@ -7,6 +7,7 @@
 	"hyssopseam/core/command/hsplacement"
 	"hyssopseam/core/command/hsqueue"
 	"hyssopseam/core/command/hsquorum"
+	"hyssopseam/core/command/hsupkeep"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hssource"
@@ -59,6 +60,8 @@
 	Replicas int
 	// Work sets the times of step jobs.
 	Work hsdispatch.Config
+	// Upkeep names this process towards the platform and sets the times of waves.
+	Upkeep hsupkeep.Config
 	// FoundBefore is the cluster time until which catalogs and step jobs wait for all Replicas to vote, so that
 	// what is acknowledged outlives the loss of disks. Zero waits for none.
 	FoundBefore time.Duration
@@ -155,4 +158,8 @@
 	Observer Observer
 	// Work is told of decisions on step jobs.
 	Work WorkObserver
+	// Adviser asks the policy service; nil where there is none.
+	Adviser hsdispatch.Adviser
+	// Machines is the platform's interface to machines; nil where there is none.
+	Machines hsupkeep.Machines
 }
--- a/core/command/hscontrol/leadership.go
+++ b/core/command/hscontrol/leadership.go
@@ -8,6 +8,7 @@
 	"hyssopseam/core/command/hsdispatch"
 	"hyssopseam/core/command/hslease"
 	"hyssopseam/core/command/hsqueue"
+	"hyssopseam/core/command/hsupkeep"
 	"hyssopseam/core/hsfleet"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
@@ -57,6 +58,8 @@
 	homesAsked bool
 
 	work *hsdispatch.Dispatcher
+	// upkeep carries out waves.
+	upkeep *hsupkeep.Keeper
 }
 
 // awaited is a request whose entry isn't applied yet.
@@ -105,6 +108,7 @@
 		homesDue:   true,
 	}
 	l.work = hsdispatch.New(c.config.Work, c.workPorts(), c.state.Work, l.term)
+	l.upkeep = hsupkeep.New(c.config.Upkeep, c.upkeepPorts(l.work), c.state.Work, l.term)
 	l.breakers.Disabled = c.config.Off.Breakers
 	l.queue.Flat = c.config.Off.Classes
 	for _, j := range c.state.Jobs {
--- a/core/command/hscontrol/wake.go
+++ b/core/command/hscontrol/wake.go
@@ -18,6 +18,7 @@
 	c.expireWaiters(now)
 	c.repairMembers(now)
 	c.lead.work.Wake()
+	c.lead.upkeep.Wake()
 	if now.Sub(c.lead.passAt) >= passInterval {
 		c.lead.passDue = true
 		c.lead.leases.Forget(forgetAfter, now)
--- a/core/command/hscontrol/work.go
+++ b/core/command/hscontrol/work.go
@@ -33,7 +33,7 @@
 func (l workLog) Clock() time.Duration { return l.c.replica.Clock() }
 
 func (c *Control) workPorts() hsdispatch.Ports {
-	return hsdispatch.Ports{Clock: c.ports.Clock, Sender: c.ports.Sender, Log: workLog{c}, Observer: c.ports.Work}
+	return hsdispatch.Ports{Clock: c.ports.Clock, Sender: c.ports.Sender, Log: workLog{c}, Observer: c.ports.Work, Adviser: c.ports.Adviser}
 }
 
 // receiveTally hands a runner's tally to the dispatcher of this leadership.
@@ -45,6 +45,13 @@
 	c.lead.work.Receive(from, t)
 }
 
+// Advised takes the answer of the policy service about a step.
+func (c *Control) Advised(a hsdispatch.Advice) {
+	if c.Leading() {
+		c.lead.work.Advised(a)
+	}
+}
+
 // work takes a request about step jobs. All of them are decided here, by the newest committed catalog: what
 // is in force is in force everywhere at once.
 func (c *Control) work(a awaited, q *hsmessage.WorkRequest) {
@@ -74,6 +81,10 @@
 		return c.putCatalog(q.Catalog)
 	case hsmessage.WorkGetCatalog:
 		return c.getCatalog(), nil
+	case hsmessage.WorkStartWave:
+		return c.startWave(q.Wave)
+	case hsmessage.WorkGetWave:
+		return c.getWave(q.Wave), nil
 	}
 	s := c.state.Work
 	if s.Catalog.Version == 0 {
@@ -154,6 +165,7 @@
 		Attempts:   max(q.MaxAttempts, 1),
 		Stretch:    q.Stretch,
 		Target:     q.Target,
+		Advised:    q.Advised,
 	}
 	if owner != nil {
 		command.Workspace = owner.Name
--- a/core/command/hsdispatch/claim.go
+++ b/core/command/hsdispatch/claim.go
@@ -212,7 +212,7 @@
 // progress do.
 func (v *victims) mayStop(p placedRun) bool {
 	switch {
-	case v.d.coveredJobs[p.job.ID]:
+	case v.d.coveredJobs[p.job.ID] || v.d.spared(p):
 		return false
 	case v.u.covered:
 		return true
--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -81,6 +81,8 @@
 	Sender   Sender
 	Log      Log
 	Observer Observer
+	// Adviser is nil where there is no policy service.
+	Adviser Adviser
 }
 
 // Dispatcher is what one leadership knows about step jobs beyond the replicated state.
@@ -115,6 +117,11 @@
 	cores       float64
 	experiences map[hswork.QueueName]*experience
 
+	permits  map[StepID]*permits
+	restarts map[hswork.TaskID]restart
+	// vacant tells until when endpoints are kept free for upkeep.
+	vacant map[hswork.EndpointID]time.Time
+
 	controls []hsstate.Peer
 	passDue  bool
 	passAt   time.Time
@@ -138,6 +145,9 @@
 		began:       map[hswork.RunID]time.Time{},
 		begun:       map[hswork.ID]bool{},
 		progress:    map[hswork.RunID]progress{},
+		permits:     map[StepID]*permits{},
+		restarts:    map[hswork.TaskID]restart{},
+		vacant:      map[hswork.EndpointID]time.Time{},
 		experiences: map[hswork.QueueName]*experience{},
 		passDue:     true,
 	}
@@ -172,12 +182,14 @@
 		if c.Ends[i].How == hswork.EndDone {
 			d.learn(run, d.ports.Clock.Now())
 		}
+		d.endedLasting(run, d.ports.Clock.Now())
 		delete(d.ending, run)
 		delete(d.stopping, run)
 		delete(d.began, run)
 		delete(d.progress, run)
 		d.planForJob(run.Task.Work)
 	}
+	d.forgetPermits()
 	for id, w := range d.workers {
 		if d.note(w) {
 			d.planFor(id)
--- a/core/command/hsdispatch/order.go
+++ b/core/command/hsdispatch/order.go
@@ -44,6 +44,8 @@
 	objective := d.objective(u.job)
 	u.slack = objective - age - d.chain(u.job) + d.bulk(u.job)
 	switch {
+	case u.step.Lasts:
+		u.slack = 0
 	case age > lateFactor*objective:
 		u.standing = overdue
 	case u.slack < 0 && age > objective:
--- a/core/command/hsdispatch/pass.go
+++ b/core/command/hsdispatch/pass.go
@@ -17,6 +17,9 @@
 			d.tryClaim(u, c, rooms, now)
 			continue
 		}
+		if !d.mayRestart(u, now) {
+			continue
+		}
 		same := shapeOf(u)
 		if full[same] && !u.covered {
 			continue
@@ -25,7 +28,8 @@
 			d.start(u, members, now)
 			continue
 		}
-		full[same] = true
+		d.ask(u, rooms, now)
+		full[same] = full[same] || !d.needsPermit(u.job)
 		soonest, at := d.soonest(u, rooms, now)
 		if at > d.waits(u, now) && d.mayPreempt(u, now) && d.claimFor(u, rooms, now) {
 			continue
--- a/core/command/hsdispatch/place.go
+++ b/core/command/hsdispatch/place.go
@@ -122,6 +122,9 @@
 			if rack != "" && r.rack != rack || !r.suits(u.job.Pool, u.step) {
 				continue
 			}
+			if _, ok := d.permitted(u, r); !ok {
+				continue
+			}
 			if !u.covered && !r.reserved.admits(need(u.step), d.expectStep(u.job, u.step)) {
 				continue
 			}
--- a/core/command/hsdispatch/plan.go
+++ b/core/command/hsdispatch/plan.go
@@ -75,7 +75,13 @@
 
 // planned describes a run. The description of the job goes along only until the endpoint has the run.
 func (d *Dispatcher) planned(w *worker, r placedRun) hsmessage.PlannedRun {
-	p := hsmessage.PlannedRun{Run: r.run, Checkpoint: r.task.Checkpoint}
+	p := hsmessage.PlannedRun{
+		Run:        r.run,
+		Checkpoint: r.task.Checkpoint,
+		Ticket:     d.ticketFor(w, r.run.Task),
+		TailTarget: r.step.TailTarget,
+		Fills:      r.step.Fills,
+	}
 	atWork := slices.ContainsFunc(w.tally.Running, func(x hsmessage.RunningTask) bool { return x.Run == r.run })
 	if !atWork {
 		p.Spec = r.job.Spec
--- a/core/command/hsdispatch/room.go
+++ b/core/command/hsdispatch/room.go
@@ -26,7 +26,7 @@
 func (d *Dispatcher) rooms(now time.Time) []*room {
 	var rooms []*room
 	for _, w := range d.workers {
-		if usableTally(&w.tally) && now.Sub(w.heard) < silence {
+		if usableTally(&w.tally) && now.Sub(w.heard) < silence && !d.isVacant(w.tally.Endpoint.ID, now) {
 			w.health.forgive(now)
 			e := &w.tally.Endpoint
 			rooms = append(rooms, &room{worker: w, rack: rackOf(e.Labels), all: e.Capacity, free: e.Capacity.Minus(d.used(w))})
--- a/core/command/hsdispatch/worker.go
+++ b/core/command/hsdispatch/worker.go
@@ -112,6 +112,7 @@
 	for _, r := range t.Refused {
 		if d.placeOn(w, r.Run) != nil && !d.stopping[r.Run] {
 			d.stopping[r.Run] = true
+			d.dropPermit(w, r.Run.Task)
 			w.health.failed(w.heard)
 		}
 	}
--- a/core/command/hsflow/flow.go
+++ b/core/command/hsflow/flow.go
@@ -22,6 +22,8 @@
 	retention = 10 * time.Minute
 	// maxEnded bounds the ended jobs that are remembered, a day's worth of the largest deployment.
 	maxEnded = 5000
+	// maxWaves bounds the waves that are remembered.
+	maxWaves = 100
 )
 
 // Apply changes the state by one command that was committed at an index and a cluster time.
@@ -43,6 +45,14 @@
 		if j := s.Jobs[c.Cancel.ID]; j != nil {
 			finish(s, j, hswork.Cancelled, clock)
 		}
+	case c.Wave != nil:
+		startWave(s, c.Wave, clock)
+	case c.WaveDone != nil:
+		if w := s.Wave(c.WaveDone.ID); w != nil {
+			w.Done = true
+		}
+	case c.Upkeep != nil:
+		noteUpkeep(s, c.Upkeep)
 	}
 	forget(s, clock)
 }
@@ -60,6 +70,7 @@
 		MaxAttempts: c.Attempts,
 		Stretch:     c.Stretch,
 		Target:      c.Target,
+		Advised:     c.Advised,
 		Accepted:    clock,
 		Index:       index,
 		Phase:       hswork.Open,
--- /dev/null
+++ b/core/command/hsflow/wave.go
@@ -0,0 +1,31 @@
+package hsflow
+
+import (
+	"time"
+
+	"hyssopseam/core/hswork"
+)
+
+// startWave accepts a wave once. The oldest ones that are done are forgotten.
+func startWave(s *hswork.State, w *hswork.Wave, clock time.Duration) {
+	if s.Wave(w.ID) != nil {
+		return
+	}
+	accepted := *w
+	accepted.Started = clock
+	s.Waves = append(s.Waves, accepted)
+	if len(s.Waves) > maxWaves && s.Waves[0].Done {
+		s.Waves = s.Waves[1:]
+	}
+}
+
+func noteUpkeep(s *hswork.State, n *hswork.UpkeepNote) {
+	w := s.Wave(n.Wave)
+	if w == nil {
+		return
+	}
+	if m := w.Machine(n.Machine); m != nil {
+		m.Ordered = true
+		m.Begun = m.Begun || n.Begun
+	}
+}
--- a/core/command/hsrunner/endpoint.go
+++ b/core/command/hsrunner/endpoint.go
@@ -25,6 +25,7 @@
 	Run        hswork.RunID
 	Spec       string
 	Checkpoint hswork.Checkpoint
+	Ticket     hswork.Ticket
 	// Deadline is when everything on the endpoint ends unless it is held longer.
 	Deadline Reading
 	Term     hsid.Term
@@ -57,6 +58,15 @@
 	Start(c StartCall)
 	Stop(c StopCall)
 	Hold(c HoldCall)
+	Pace(c PaceCall)
+}
+
+// PaceCall has a run work at a share of its speed.
+type PaceCall struct {
+	Target Target
+	Run    hswork.RunID
+	Pace   hswork.Percent
+	Term   hsid.Term
 }
 
 // Verdict tells how a call ended.
--- a/core/command/hsrunner/life.go
+++ b/core/command/hsrunner/life.go
@@ -49,6 +49,8 @@
 	nextCall time.Time
 	refused  map[hswork.RunID]string
 	never    map[hswork.RunID]bool
+	// paces holds the share at which each filling run works; those that aren't listed work at full speed.
+	paces map[hswork.RunID]hswork.Percent
 }
 
 // call is a start or stop that isn't settled.
@@ -102,6 +104,7 @@
 		calls:    map[hswork.RunID]*call{},
 		refused:  map[hswork.RunID]string{},
 		never:    map[hswork.RunID]bool{},
+		paces:    map[hswork.RunID]hswork.Percent{},
 	}
 	l.learnClock(a.Clock, now)
 	l.learnLeaving(now)
--- a/core/command/hsrunner/reconcile.go
+++ b/core/command/hsrunner/reconcile.go
@@ -68,7 +68,7 @@
 		c.Main = true
 		l.holding = true
 		if l.listed {
-			c.Wait = holdWait
+			c.Wait = r.holdTime(l)
 		}
 	}
 	l.noted = max(l.noted, c.Noted)
@@ -152,6 +152,7 @@
 		Run:        p.Run,
 		Spec:       p.Spec,
 		Checkpoint: p.Checkpoint,
+		Ticket:     p.Ticket,
 		Deadline:   deadline,
 		Term:       r.term,
 	})
@@ -310,6 +311,7 @@
 	l.listed = true
 	l.running = res.Running
 	l.ended = res.Ended
+	r.share(l)
 	for run, c := range l.calls {
 		if c.settledBy == 0 || res.Number < c.settledBy || l.isRunning(run) {
 			continue
--- a/core/hsmessage/work.go
+++ b/core/hsmessage/work.go
@@ -22,6 +22,8 @@
 	WorkWaiting    WorkAction = "waiting"
 	WorkPutCatalog WorkAction = "putCatalog"
 	WorkGetCatalog WorkAction = "getCatalog"
+	WorkStartWave  WorkAction = "startWave"
+	WorkGetWave    WorkAction = "getWave"
 )
 
 // WorkRequest is a request about step jobs. Host, Path and Key come from the caller; the leader finds the
@@ -35,6 +37,8 @@
 	Submission *hswork.Submission
 	// Catalog is set for WorkPutCatalog.
 	Catalog *hswork.Catalog
+	// Wave is set for WorkStartWave, and with its identifier alone for WorkGetWave.
+	Wave *hswork.Wave
 }
 
 // WorkVerdict tells how a WorkRequest ended.
@@ -61,6 +65,8 @@
 	// Content is the catalog in force as it was sent, and Version its number.
 	Content []byte
 	Version hswork.Version
+	// WaveDone is set once a wave has come to its end.
+	WaveDone bool
 }
 
 // Endpoint describes the endpoint beside a runner, as it announced itself.
@@ -80,6 +86,9 @@
 	Run        hswork.RunID
 	Checkpoint hswork.Checkpoint
 	Percent    hswork.Percent
+	// Load is the tail of the response times of a run that serves, in milliseconds, and of others the
+	// thousandths of cores in use.
+	Load int64
 }
 
 // EndedTask is one end that the endpoint lists.
@@ -122,6 +131,11 @@
 	Run        hswork.RunID
 	Spec       string
 	Checkpoint hswork.Checkpoint
+	Ticket     hswork.Ticket
+	// TailTarget is the response time that the run has to serve its users within; 0 for none.
+	TailTarget time.Duration
+	// Fills is set for a run that takes what others leave, and may be slowed down for them.
+	Fills bool
 }
 
 // Plan is the whole of what the endpoint of a runner should run, and the run lease.
--- a/core/hswork/catalog.go
+++ b/core/hswork/catalog.go
@@ -35,6 +35,16 @@
 	Timeout time.Duration
 	// Public queues ask for no key.
 	Public bool
+	// Advised queues start tasks only where the policy service allows it.
+	Advised bool
+	Advice  Advice
+}
+
+// Advice tells how long the policy service takes for an answer, and how long its tickets are valid.
+type Advice struct {
+	Decision  time.Duration
+	PerWorker time.Duration
+	Validity  time.Duration
 }
 
 // Pool is a set of endpoints.
--- a/core/hswork/id.go
+++ b/core/hswork/id.go
@@ -31,6 +31,9 @@
 // Checkpoint is the saved progress of a task as its endpoint names it; empty for none.
 type Checkpoint string
 
+// Ticket proves to an endpoint that the policy service allows a step there.
+type Ticket string
+
 // EndNumber numbers the ends that one life of an endpoint lists, from 1.
 type EndNumber uint64
 
--- a/core/hswork/job.go
+++ b/core/hswork/job.go
@@ -169,6 +169,7 @@
 	MaxAttempts int
 	Stretch     float64
 	Target      time.Duration
+	Advised     bool
 	Accepted    time.Duration
 	Index       hsid.LogIndex
 
--- a/core/hswork/state.go
+++ b/core/hswork/state.go
@@ -14,6 +14,8 @@
 	Jobs    map[ID]*Job
 	// Ended lists the jobs that aren't open, oldest first.
 	Ended []ID
+	// Waves are the waves of upkeep, oldest first.
+	Waves []Wave
 }
 
 // NewState returns an empty state.
@@ -38,6 +40,10 @@
 	Start   *Start
 	End     *Ends
 	Cancel  *Cancel
+	// Wave starts a wave of upkeep.
+	Wave     *Wave
+	WaveDone *WaveDone
+	Upkeep   *UpkeepNote
 }
 
 // Submit accepts a job.
@@ -50,6 +56,7 @@
 	Attempts   int
 	Stretch    float64
 	Target     time.Duration
+	Advised    bool
 }
 
 // Member is one task of a start and where it goes.
@@ -81,3 +88,8 @@
 type Cancel struct {
 	ID ID
 }
+
+// WaveDone ends a wave.
+type WaveDone struct {
+	ID WaveID
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -108,7 +108,7 @@
 }
 
 func (d *Demo) startApp(s *hssettings.Settings, logger *slog.Logger) error {
-	app, err := hsapp.New(s, logger, nil)
+	app, err := hsapp.New(s, logger, hsapp.Clients{})
 	if err != nil {
 		return err
 	}
--- a/internal/play/endpoint.go
+++ b/internal/play/endpoint.go
@@ -325,6 +325,9 @@
 	}, func(x *hsrunner.Runner, r hsrunner.CallResult) { x.Stopped(c.Run, r) })
 }
 
+// Pace does nothing: nothing disturbs anything here.
+func (e *Endpoint) Pace(hsrunner.PaceCall) {}
+
 // Hold implements hsrunner.Endpoint.
 func (e *Endpoint) Hold(c hsrunner.HoldCall) {
 	life, born := e.runner.life, e.born
--- a/io/hsapp/app.go
+++ b/io/hsapp/app.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	app, err := hsapp.New(settings, logger, nil)
+//	app, err := hsapp.New(settings, logger, hsapp.Clients{})
 //	if err := app.Start(); err != nil {
 //		return err
 //	}
@@ -23,8 +23,10 @@
 
 	"hyssopseam/core/command/hsagent"
 	"hyssopseam/core/command/hscontrol"
+	"hyssopseam/core/command/hsdispatch"
 	"hyssopseam/core/command/hsentry"
 	"hyssopseam/core/command/hsrunner"
+	"hyssopseam/core/command/hsupkeep"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/io/hslog"
 	"hyssopseam/io/hsprocess"
@@ -40,18 +42,29 @@
 	cleanup []func()
 }
 
-// Endpoints makes the client of the endpoint beside a runner. Its results go to the process.
-type Endpoints func(p *hsprocess.Process, log *slog.Logger) hsrunner.Endpoint
+// Clients makes the clients of what is outside of the system. Their results go to the process. A client whose
+// function is nil isn't there; a process with the runner role needs an Endpoint.
+type Clients struct {
+	Endpoint func(p *hsprocess.Process) hsrunner.Endpoint
+	Adviser  func(p *hsprocess.Process) hsdispatch.Adviser
+	Machines func(p *hsprocess.Process) hsupkeep.Machines
+}
 
-// New builds the process. Nothing listens yet. Endpoints is nil for a process without the runner role.
-func New(s *hssettings.Settings, logger *slog.Logger, endpoints Endpoints) (*App, error) {
-	if s.Holds(hsmessage.RoleRunner) && endpoints == nil {
+// New builds the process. Nothing listens yet.
+func New(s *hssettings.Settings, logger *slog.Logger, clients Clients) (*App, error) {
+	if s.Holds(hsmessage.RoleRunner) && clients.Endpoint == nil {
 		return nil, errors.New("hsapp: the runner role needs a client of its endpoint")
 	}
 	b, err := initBase(s, logger)
 	if err != nil {
 		return nil, fmt.Errorf("hsapp: %w", err)
 	}
+	if clients.Adviser != nil {
+		b.adviser = clients.Adviser(b.process)
+	}
+	if clients.Machines != nil {
+		b.machines = clients.Machines(b.process)
+	}
 	a := &App{base: b, log: hslog.Part(logger, "app")}
 	var (
 		control  *hscontrol.Control
@@ -77,7 +90,7 @@
 	}
 	b.process.Attach(control, entry, agent)
 	if s.Holds(hsmessage.RoleRunner) {
-		b.process.AttachRunner(initRunner(b, endpoints(b.process, logger)))
+		b.process.AttachRunner(initRunner(b, clients.Endpoint(b.process)))
 	}
 	a.watch()
 	if err := a.serve(platform); err != nil {
--- a/io/hsapp/role.go
+++ b/io/hsapp/role.go
@@ -16,6 +16,7 @@
 	"hyssopseam/core/command/hsqueue"
 	"hyssopseam/core/command/hsquorum"
 	"hyssopseam/core/command/hsrunner"
+	"hyssopseam/core/command/hsupkeep"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
@@ -41,6 +42,9 @@
 	metrics     *hsmetric.Metrics
 	decisions   *hsdecision.Book
 	incarnation hsid.Incarnation
+
+	adviser  hsdispatch.Adviser `wire:"-"`
+	machines hsupkeep.Machines  `wire:"-"`
 }
 
 func newIncarnation() hsid.Incarnation { return hsclock.NewIncarnation() }
@@ -161,6 +165,8 @@
 		Reader:   hsreport.Reader{},
 		Observer: b.metrics,
 		Work:     b.decisions,
+		Adviser:  b.adviser,
+		Machines: b.machines,
 	}
 }
 
@@ -187,6 +193,7 @@
 		Prepare:    time.Duration(c.Prepare),
 		CoolDown:   time.Duration(c.CoolDown),
 		Replicas:   c.Replicas,
+		Upkeep:     hsupkeep.Config{Holder: s.Instance, Lease: time.Duration(s.Work.HolderLease), Upkeep: time.Duration(s.Work.Upkeep)},
 		Work:       hsdispatch.Config{Lease: s.Work.Lease(), StopTimeout: time.Duration(s.Work.Stop)},
 
 		FoundBefore:  time.Duration(c.FoundBefore),
--- a/io/hsapp/tls_test.go
+++ b/io/hsapp/tls_test.go
@@ -86,7 +86,7 @@
 func startApp(t *testing.T, s *hssettings.Settings) {
 	t.Helper()
 	s.DrainTimeout = hssettings.Duration(30 * time.Second)
-	app, err := New(s, hslog.Discard(), nil)
+	app, err := New(s, hslog.Discard(), Clients{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/hsprocess/input.go
+++ b/io/hsprocess/input.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"hyssopseam/core/command/hsagent"
+	"hyssopseam/core/command/hsdispatch"
+	"hyssopseam/core/command/hsupkeep"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
@@ -92,6 +94,50 @@
 	}
 }
 
+// Advised takes the answer of the policy service about a step.
+func (p *Process) Advised(a hsdispatch.Advice) { p.put(advised{advice: a}) }
+
+type advised struct {
+	advice hsdispatch.Advice
+}
+
+func (in advised) apply(p *Process) {
+	if p.control != nil {
+		p.control.Advised(in.advice)
+	}
+}
+
+// MachinesListed takes the platform's list of machines.
+func (p *Process) MachinesListed(machines []hsupkeep.Machine) {
+	p.put(machinesListed{machines: machines})
+}
+
+type machinesListed struct {
+	machines []hsupkeep.Machine
+}
+
+func (in machinesListed) apply(p *Process) {
+	if p.control != nil {
+		p.control.MachinesListed(in.machines)
+	}
+}
+
+// UpkeepOrdered takes the result of an order about a machine.
+func (p *Process) UpkeepOrdered(o hsupkeep.Order, v hsupkeep.Verdict) {
+	p.put(upkeepOrdered{order: o, verdict: v})
+}
+
+type upkeepOrdered struct {
+	order   hsupkeep.Order
+	verdict hsupkeep.Verdict
+}
+
+func (in upkeepOrdered) apply(p *Process) {
+	if p.control != nil {
+		p.control.UpkeepOrdered(in.order, in.verdict)
+	}
+}
+
 // Synced takes the end of a save. After an error the process fails.
 func (p *Process) Synced(n hsid.Sequence, err error) {
 	if err != nil {
--- a/io/hsprocess/runner.go
+++ b/io/hsprocess/runner.go
@@ -82,6 +82,18 @@
 
 func (in runStopped) apply(p *Process) { p.runner.Stopped(in.run, in.result) }
 
+// RunPaced takes the result of a change of pace on the endpoint.
+func (p *Process) RunPaced(run hswork.RunID, r hsrunner.CallResult) {
+	p.put(runPaced{run: run, result: r})
+}
+
+type runPaced struct {
+	run    hswork.RunID
+	result hsrunner.CallResult
+}
+
+func (in runPaced) apply(p *Process) { p.runner.Paced(in.run, in.result) }
+
 // EndpointHeld takes what the endpoint lists.
 func (p *Process) EndpointHeld(r hsrunner.HoldResult) { p.put(endpointHeld{result: r}) }
 
--- a/io/hssettings/check.go
+++ b/io/hssettings/check.go
@@ -124,6 +124,8 @@
 		{"gateway.operators", g.Operators},
 		{"gateway.announcements", g.Announcements},
 		{"gateway.endpoint", g.Endpoint},
+		{"gateway.advice", g.Advice},
+		{"gateway.machines", g.Machines},
 	}
 	for _, a := range addresses {
 		c.address(a.key, a.value, false)
@@ -166,6 +168,8 @@
 		{"work.hold", s.Work.Hold},
 		{"work.stop", s.Work.Stop},
 		{"work.interval", s.Work.Interval},
+		{"work.holderLease", s.Work.HolderLease},
+		{"work.upkeep", s.Work.Upkeep},
 		{"agent.interval", s.Agent.Interval},
 		{"agent.announce", s.Agent.Announce},
 	}
--- a/io/hssettings/settings.go
+++ b/io/hssettings/settings.go
@@ -115,6 +115,9 @@
 	Stop Duration `toml:"stop"`
 	// Interval is the time between two tallies of a runner.
 	Interval Duration `toml:"interval"`
+	// HolderLease is how long a holder of orders about machines counts as such, and Upkeep how long one is down.
+	HolderLease Duration `toml:"holderLease"`
+	Upkeep      Duration `toml:"upkeep"`
 }
 
 // leaseShare is the part of Hold, in percent, that a run lease lasts. The rest is for clocks that drift and
@@ -132,6 +135,10 @@
 	Announcements string `toml:"announcements"`
 	// Endpoint is where the endpoint beside this process takes calls.
 	Endpoint string `toml:"endpoint"`
+	// Advice is where the policy service takes questions.
+	Advice string `toml:"advice"`
+	// Machines is where the platform takes orders about machines.
+	Machines string `toml:"machines"`
 }
 
 // Agent holds the settings of the agent role.
