--- a/core/command/hsdispatch/bed_test.go
+++ b/core/command/hsdispatch/bed_test.go
@@ -24,6 +24,8 @@
 	proposed   []*hswork.Command
 	plans      map[hsid.InstanceID]hsmessage.Plan
 	tallies    map[hsid.InstanceID]*hsmessage.Tally
+	// adviser is what the next leadership asks; nil for nobody.
+	adviser hsdispatch.Adviser
 }
 
 func (b *bed) Now() time.Time { return b.now }
@@ -71,7 +73,7 @@
 func (b *bed) lead(term hsid.Term) {
 	c := hsdispatch.Config{Lease: lease, StopTimeout: 400 * time.Millisecond}
 	b.proposed = nil
-	b.dispatcher = hsdispatch.New(c, hsdispatch.Ports{Clock: b, Sender: b, Log: b, Observer: b}, b.state, term)
+	b.dispatcher = hsdispatch.New(c, hsdispatch.Ports{Clock: b, Sender: b, Log: b, Observer: b, Adviser: b.adviser}, b.state, term)
 }
 
 // worker announces a worker on a rack with 32 cores, 128 GiB and 8 accelerators.
--- a/core/command/hsdispatch/worker.go
+++ b/core/command/hsdispatch/worker.go
@@ -153,7 +153,7 @@
 		return false
 	}
 	t := j.Task(e.Run.Task)
-	return t != nil && !t.Done && e.Run.Number <= t.Run && !slices.Contains(t.Failed, e.Run.Number)
+	return t != nil && !j.Steps[e.Run.Task.Step].Lasts && !t.Done && e.Run.Number <= t.Run && !slices.Contains(t.Failed, e.Run.Number)
 }
 
 // note advances the newest end that is committed with all before it, and reports whether it moved.
