--- a/core/command/hsdispatch/stall.go
+++ b/core/command/hsdispatch/stall.go
@@ -15,6 +15,9 @@
 	gangStallAfter = 4 * time.Second
 	// redoShare is how long a run may make no progress for the work that it would lose, in percent of that work.
 	redoShare = 50
+	// gangWaits is the progress from which on a member of a gang may be waiting for slower members: they end
+	// together.
+	gangWaits = 95
 )
 
 // progress is what was last seen of a run's progress.
@@ -64,6 +67,9 @@
 	}
 	limit := stallAfter
 	if p.step.Gang {
+		if seen.percent >= gangWaits {
+			return false
+		}
 		limit = gangStallAfter
 	}
 	if began, ok := d.began[p.run]; ok && !p.step.Saves {
