--- a/io/hsprocess/process.go
+++ b/io/hsprocess/process.go
@@ -55,6 +55,7 @@
 	Rules      hsid.RuleNumber
 	Pending    int
 	Strays     int
+	Members    int
 	AgentTasks int
 	Runs       int
 	Draining   bool
@@ -246,6 +247,7 @@
 		s.Term = r.Term()
 		s.Commit = r.Commit()
 		s.LogLength = r.LogLength()
+		s.Members = len(r.Members())
 		s.Rules = p.control.State().Rules.InForce.Number
 		s.RulesOK = s.Leader != ""
 	}
@@ -263,9 +265,27 @@
 		s.Leader = p.runner.Leader()
 		s.Runs = p.runner.Runs()
 	}
+	p.report(p.published.Load(), s)
 	p.published.Store(s)
 }
 
+// report logs what the process believes otherwise than before: who leads, whether it has contact with the
+// leader, and who the members are.
+func (p *Process) report(before, now *Published) {
+	if now.Leading != before.Leading {
+		p.log.Info("leadership changed", "leading", now.Leading, "term", now.Term, "commit", now.Commit)
+	}
+	if now.Leader != before.Leader {
+		p.log.Info("leader changed", "leader", now.Leader, "before", before.Leader, "term", now.Term)
+	}
+	if now.RulesOK != before.RulesOK {
+		p.log.Info("contact with the leader changed", "contact", now.RulesOK, "leader", now.Leader)
+	}
+	if now.Members != before.Members {
+		p.log.Info("members changed", "members", now.Members, "before", before.Members, "commit", now.Commit)
+	}
+}
+
 // put waits for room, unless the process stops.
 func (p *Process) put(in input) {
 	select {
