--- a/core/command/hsdispatch/bed_test.go
+++ b/core/command/hsdispatch/bed_test.go
@@ -50,7 +50,17 @@
 func (b *bed) Moved(hswork.RunID, hsid.InstanceID)                     {}
 func (b *bed) WorkerChanged(hsid.InstanceID, hsmessage.Endpoint, bool) {}
 
-const lease = 8 * time.Second
+const (
+	lease = 8 * time.Second
+	// passEvery is at least the time between two passes while nothing happens.
+	passEvery = 100 * time.Millisecond
+)
+
+// keepAlive sends a tally as it stands, without a flush.
+func (b *bed) keepAlive(t *hsmessage.Tally) {
+	t.Sequence++
+	b.dispatcher.Receive(hsstate.Peer(t.Instance), *t)
+}
 
 func newBed(t *testing.T) *bed {
 	b := &bed{
--- a/core/command/hsquorum/config.go
+++ b/core/command/hsquorum/config.go
@@ -16,6 +16,7 @@
 	DefaultMaxBatch      = 512
 	DefaultSnapshotEvery = 4096
 	DefaultRetain        = 512
+	DefaultSnapshotBytes = 8 * hsid.MiB
 	DefaultChunk         = 256 * hsid.KiB
 )
 
@@ -36,6 +37,9 @@
 	MaxBatch int
 	// SnapshotEvery is the number of applied entries after which the log is compacted.
 	SnapshotEvery int
+	// SnapshotBytes is the size of the applied entries after which the log is compacted, whatever their number;
+	// at most half of it stays in the log.
+	SnapshotBytes hsid.Bytes
 	// Retain is how many applied entries stay in the log for replicas that lag a little.
 	Retain int
 	// Chunk is the size of a part of a snapshot in transfer.
@@ -48,6 +52,7 @@
 	setDefault(&c.Election, DefaultElection)
 	setDefault(&c.MaxBatch, DefaultMaxBatch)
 	setDefault(&c.SnapshotEvery, DefaultSnapshotEvery)
+	setDefault(&c.SnapshotBytes, DefaultSnapshotBytes)
 	setDefault(&c.Retain, DefaultRetain)
 	setDefault(&c.Chunk, DefaultChunk)
 	return c
--- a/core/command/hsquorum/log.go
+++ b/core/command/hsquorum/log.go
@@ -150,7 +150,9 @@
 func (r *Replica) applyCommitted() {
 	for r.applied < min(r.commit, r.disk.synced) {
 		r.applied++
-		r.ports.Machine.Apply(*r.log.at(r.applied))
+		e := r.log.at(r.applied)
+		r.appliedBytes += e.Command.Size()
+		r.ports.Machine.Apply(*e)
 	}
 	r.compactLog()
 	r.leaveIfRemoved()
--- a/core/command/hsquorum/replica.go
+++ b/core/command/hsquorum/replica.go
@@ -42,6 +42,8 @@
 	configIndex hsid.LogIndex
 	commit      hsid.LogIndex
 	applied     hsid.LogIndex
+	// appliedBytes is the size of the entries that were applied since the last snapshot.
+	appliedBytes hsid.Bytes
 
 	role       Role
 	leader     hsid.ReplicaID
--- a/core/command/hsquorum/scenario_test.go
+++ b/core/command/hsquorum/scenario_test.go
@@ -216,3 +216,20 @@
 		t.Errorf("removing a live voter beside a dead one: got %v, want %v", err, hsquorum.ErrMembership)
 	}
 }
+
+// TestLogBytes checks that the log is compacted by its size, however few its entries are.
+func TestLogBytes(t *testing.T) {
+	const bound = 4 * hsid.KiB
+	c := newCluster(t, 3, 3, 0, hsquorum.Config{SnapshotBytes: bound})
+	l := lead(t, c)
+	var size hsstate.Command
+	most := int(bound/size.Size()) + int(bound/2/size.Size())
+	for range 100 {
+		c.propose()
+		c.run(4, round)
+		if got := l.replica.LogLength(); got > most+1 {
+			t.Fatalf("got %d entries in the log, want at most %d", got, most+1)
+		}
+	}
+	c.settle()
+}
--- a/core/command/hsquorum/snapshot.go
+++ b/core/command/hsquorum/snapshot.go
@@ -21,9 +21,11 @@
 
 // compactLog takes a snapshot once enough entries were applied since the last one.
 func (r *Replica) compactLog() {
-	if int(r.applied-r.snapshot.Index) < r.config.SnapshotEvery || r.disk.pending != nil {
+	enough := int(r.applied-r.snapshot.Index) >= r.config.SnapshotEvery || r.appliedBytes >= r.config.SnapshotBytes
+	if !enough || r.disk.pending != nil {
 		return
 	}
+	r.appliedBytes = 0
 	e := r.log.at(r.applied)
 	cluster, members := r.membersAt(r.applied)
 	r.snapshot = Snapshot{
@@ -34,13 +36,27 @@
 		Members: members,
 		Data:    r.ports.Machine.Snapshot(),
 	}
-	if keep := hsid.LogIndex(r.config.Retain); r.applied > r.log.base+keep {
+	if keep := r.retained(); r.applied > r.log.base+keep {
 		r.log.compact(r.applied - keep)
 	}
 	pending := r.snapshot
 	r.disk.pending = &pending
 }
 
+// retained returns how many applied entries stay in the log.
+func (r *Replica) retained() hsid.LogIndex {
+	var keep hsid.LogIndex
+	var size hsid.Bytes
+	for i := r.applied; i > r.log.base && keep < hsid.LogIndex(r.config.Retain); i-- {
+		size += r.log.at(i).Command.Size()
+		if size > r.config.SnapshotBytes/2 {
+			break
+		}
+		keep++
+	}
+	return keep
+}
+
 // membersAt returns the members in use at an applied index, which may be older than the newest.
 func (r *Replica) membersAt(i hsid.LogIndex) (hsid.ClusterID, []hsstate.Member) {
 	cluster, members := r.snapshot.Cluster, r.snapshot.Members
--- a/core/hsstate/command.go
+++ b/core/hsstate/command.go
@@ -21,6 +21,27 @@
 	Work    *hswork.Command
 }
 
+// commandSize is what a command takes beside its contents, roughly.
+const commandSize hsid.Bytes = 256
+
+// Size returns about how many bytes a command takes in the log.
+func (c *Command) Size() hsid.Bytes {
+	size := commandSize
+	if c.Rules != nil {
+		size += hsid.Bytes(len(c.Rules.Content))
+	}
+	if c.Submit != nil {
+		size += hsid.Bytes(len(c.Submit.Spec.Input))
+	}
+	if c.Finish != nil {
+		size += hsid.Bytes(len(c.Finish.Answer))
+	}
+	if c.Work != nil {
+		size += c.Work.Size()
+	}
+	return size
+}
+
 // PushRules puts a rule file in force.
 type PushRules struct {
 	Set      RuleSet
--- a/core/hswork/state.go
+++ b/core/hswork/state.go
@@ -46,6 +46,20 @@
 	Upkeep   *UpkeepNote
 }
 
+// catalogFactor is how many times its content a catalog takes: the content, and what was read from it.
+const catalogFactor = 2
+
+// Size returns about how many bytes a command takes in the log.
+func (c *Command) Size() hsid.Bytes {
+	switch {
+	case c.Catalog != nil:
+		return catalogFactor * hsid.Bytes(len(c.Catalog.Content))
+	case c.Submit != nil:
+		return hsid.Bytes(len(c.Submit.Submission.Spec))
+	}
+	return 0
+}
+
 // Submit accepts a job.
 type Submit struct {
 	Submission Submission
