--- a/internal/play/control.go
+++ b/internal/play/control.go
@@ -42,6 +42,15 @@
 	return n
 }
 
+// AddControl starts a control replica with an empty disk at an address that no other knows.
+func (w *World) AddControl() *Control {
+	n := &Control{w: w, peer: controlPeer(len(w.Controls)), clock: w.newClock()}
+	w.Controls = append(w.Controls, n)
+	n.Wipe()
+	n.Start()
+	return n
+}
+
 // Role returns the running role; nil while the node is down.
 func (n *Control) Role() *hscontrol.Control { return n.control }
 
--- a/test/whole/member_test.go
+++ b/test/whole/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -188,3 +189,52 @@
 		b.settle()
 	})
 }
+
+// TestReplacement checks that a newcomer at another address takes the place of a replica that is gone, and that
+// the old one does no harm when it comes back after all.
+func TestReplacement(t *testing.T) {
+	tables := []struct {
+		name string
+		gone int
+		back bool
+	}{
+		{"the founder is gone for good", 0, false},
+		{"another one is gone for good", 3, false},
+		{"one comes back after it was replaced", 2, true},
+	}
+	for _, tt := range tables {
+		w := play.New(play.Config{
+			Seed:     7,
+			Controls: 2*tolerated + 1,
+			Control:  hscontrol.Config{ReplaceAfter: 1500 * time.Millisecond},
+			Interval: 500 * time.Millisecond,
+			Copy:     true,
+		})
+		w.Run(3 * time.Second)
+		old := w.Controls[tt.gone]
+		old.Crash(true)
+		added := w.AddControl()
+		placed := func() bool {
+			l := w.Leader()
+			if l == nil {
+				return false
+			}
+			members := l.Replica().Members()
+			at := slices.IndexFunc(members, func(m hsstate.Member) bool { return m.Address == added.Peer() && m.Voter })
+			return at >= 0 && len(members) == 2*tolerated+1
+		}
+		if !w.Await(mended+6*time.Second, placed) {
+			t.Errorf("%s: got no newcomer among the five voters", tt.name)
+			continue
+		}
+		if !tt.back {
+			continue
+		}
+		term := w.Leader().Replica().Term()
+		old.Start()
+		w.Run(20 * time.Second)
+		if l := w.Leader(); l == nil || l.Replica().Term() != term {
+			t.Errorf("%s: got another leader than that of term %d", tt.name, term)
+		}
+	}
+}
