--- a/core/command/hsentry/entry.go
+++ b/core/command/hsentry/entry.go
@@ -40,6 +40,8 @@
 	// redirectPause is the time between a redirection and the next try.
 	redirectPause = 20 * time.Millisecond
 	refusedRetry  = time.Second
+	// searchPause is the time between two questions to all control replicas while none answers.
+	searchPause = 200 * time.Millisecond
 )
 
 // Config sets the times of an entry.
@@ -271,6 +273,9 @@
 // Wake acts on the passing of time.
 func (e *Entry) Wake() {
 	now := e.ports.Clock.Now()
+	if late, ok := e.holder.LateAt(); ok && !now.Before(late) {
+		e.renewAt = now
+	}
 	if !now.Before(e.renewAt) {
 		e.holder.Check()
 		e.renew(now)
@@ -288,6 +293,9 @@
 // NextWake returns when Wake is wanted next.
 func (e *Entry) NextWake() time.Time {
 	next := e.renewAt
+	if late, ok := e.holder.LateAt(); ok && late.Before(next) {
+		next = late
+	}
 	for _, p := range e.pending {
 		if p.resend.Before(next) {
 			next = p.resend
@@ -323,12 +331,20 @@
 	jitter := time.Duration(e.ports.Random.Int64N(int64(p.pause) / 2))
 	p.resend = now.Add(p.pause + jitter)
 	p.pause = min(2*p.pause, maxResend)
-	e.ports.Sender.Send(e.holder.Target(), p.request)
+	for _, peer := range e.holder.Targets() {
+		e.ports.Sender.Send(peer, p.request)
+	}
 }
 
 func (e *Entry) renew(now time.Time) {
 	e.renewAt = now.Add(e.config.Interval)
 	m := e.holder.Renew(hsmessage.RoleEntry)
 	m.Leaving = e.draining
-	e.ports.Sender.Send(e.holder.Target(), m)
+	targets := e.holder.Targets()
+	if len(targets) > 1 {
+		e.renewAt = now.Add(searchPause)
+	}
+	for _, peer := range targets {
+		e.ports.Sender.Send(peer, m)
+	}
 }
--- a/core/command/hsholder/holder.go
+++ b/core/command/hsholder/holder.go
@@ -17,6 +17,7 @@
 package hsholder
 
 import (
+	"slices"
 	"time"
 
 	"hyssopseam/core/hsid"
@@ -28,6 +29,9 @@
 	// silentIntervals is the number of intervals without an answer after which another control replica
 	// is asked.
 	silentIntervals = 2
+	// DefaultPatience is how long an answer may take before the holder asks all control replicas: many times what
+	// one takes between availability zones, and less than an election.
+	DefaultPatience = 300 * time.Millisecond
 	// maxSent bounds the renewals whose send times are remembered.
 	maxSent = 100
 )
@@ -43,6 +47,8 @@
 	Incarnation hsid.Incarnation
 	Controls    []hsstate.Peer
 	Interval    time.Duration
+	// Patience is how long an answer may take; zero for DefaultPatience.
+	Patience time.Duration
 }
 
 // Holder holds the rules lease of one role of a process.
@@ -61,11 +67,16 @@
 	contact  time.Time
 	sequence hsid.Sequence
 	sent     map[hsid.Sequence]time.Time
+	// waiting is when the oldest renewal since the last answer was made; zero when none waits.
+	waiting time.Time
 }
 
 // New returns a holder without a lease.
 func New(c Config, clock Clock) *Holder {
 	now := clock.Now()
+	if c.Patience == 0 {
+		c.Patience = DefaultPatience
+	}
 	return &Holder{config: c, clock: clock, contact: now, askedAt: now, sent: map[hsid.Sequence]time.Time{}}
 }
 
@@ -92,6 +103,32 @@
 	return h.config.Controls[h.control%len(h.config.Controls)]
 }
 
+// Targets returns the control replicas that are asked next: the one that leads, or all when it doesn't answer.
+// The next leader is found as soon as there is one, whatever the others believe.
+func (h *Holder) Targets() []hsstate.Peer {
+	if !h.impatient() {
+		return []hsstate.Peer{h.Target()}
+	}
+	targets := slices.Clone(h.config.Controls)
+	if t := h.Target(); !slices.Contains(targets, t) {
+		targets = append(targets, t)
+	}
+	return targets
+}
+
+// impatient reports whether an answer is late.
+func (h *Holder) impatient() bool {
+	return !h.waiting.IsZero() && h.clock.Now().Sub(h.waiting) >= h.config.Patience
+}
+
+// LateAt returns when the answer that is waited for is late; false when none is waited for.
+func (h *Holder) LateAt() (time.Time, bool) {
+	if h.waiting.IsZero() || h.impatient() {
+		return time.Time{}, false
+	}
+	return h.waiting.Add(h.config.Patience), true
+}
+
 // Learn replaces the control replicas that are known. An empty list changes nothing.
 func (h *Holder) Learn(controls []hsstate.Peer) {
 	if len(controls) > 0 {
@@ -103,6 +140,9 @@
 func (h *Holder) Renew(role hsmessage.Role) hsmessage.Renew {
 	h.sequence++
 	h.sent[h.sequence] = h.clock.Now()
+	if h.waiting.IsZero() {
+		h.waiting = h.clock.Now()
+	}
 	delete(h.sent, h.sequence-maxSent)
 	return hsmessage.Renew{
 		Instance:    h.config.Instance,
@@ -121,6 +161,7 @@
 	}
 	h.term = m.Term
 	h.leader = from
+	h.waiting = time.Time{}
 	h.Learn(m.Controls)
 	changed := m.Rules != nil && m.Rules.Number > h.rules.Number
 	if changed {
--- a/core/command/hsholder/holder_test.go
+++ b/core/command/hsholder/holder_test.go
@@ -94,3 +94,38 @@
 		}
 	}
 }
+
+// TestTargets checks that all control replicas are asked while an answer is late, and only then.
+func TestTargets(t *testing.T) {
+	tables := []struct {
+		name string
+		play func(h *hsholder.Holder, c *hand)
+		want int
+	}{
+		{"nothing asked", func(*hsholder.Holder, *hand) {}, 1},
+		{"just asked", func(h *hsholder.Holder, _ *hand) { h.Renew(hsmessage.RoleRunner) }, 1},
+		{"answer late", func(h *hsholder.Holder, c *hand) {
+			h.Renew(hsmessage.RoleRunner)
+			c.now = c.now.Add(hsholder.DefaultPatience)
+		}, 3},
+		{"asked again meanwhile", func(h *hsholder.Holder, c *hand) {
+			h.Renew(hsmessage.RoleRunner)
+			c.now = c.now.Add(hsholder.DefaultPatience / 2)
+			h.Renew(hsmessage.RoleRunner)
+			c.now = c.now.Add(hsholder.DefaultPatience / 2)
+		}, 3},
+		{"answered by another one", func(h *hsholder.Holder, c *hand) {
+			r := h.Renew(hsmessage.RoleRunner)
+			c.now = c.now.Add(hsholder.DefaultPatience)
+			h.Take("c", hsmessage.Lease{Term: 2, Sequence: r.Sequence, For: time.Second})
+		}, 1},
+	}
+	for _, tt := range tables {
+		c := &hand{now: time.Unix(100, 0)}
+		h := hsholder.New(hsholder.Config{Controls: []hsstate.Peer{"a", "b", "c"}, Interval: time.Second}, c)
+		tt.play(h, c)
+		if got := len(h.Targets()); got != tt.want {
+			t.Errorf("%s: got %d replicas asked, want %d", tt.name, got, tt.want)
+		}
+	}
+}
--- a/core/command/hsrunner/runner.go
+++ b/core/command/hsrunner/runner.go
@@ -27,6 +27,8 @@
 	unhealthyAfter = 2500 * time.Millisecond
 	// redirectPause is the time between a redirection and the next try.
 	redirectPause = 20 * time.Millisecond
+	// searchPause is the time between two questions to all control replicas while none answers.
+	searchPause = 200 * time.Millisecond
 	// overAfter is how long an endpoint that said goodbye may take to end.
 	overAfter = 500 * time.Millisecond
 	// clockShare is how much slower than ours an endpoint's clock may go, in percent, with a margin.
@@ -175,6 +177,9 @@
 	now := r.ports.Clock.Now()
 	r.checkLife(now)
 	r.reconcile()
+	if late, ok := r.holder.LateAt(); ok && !now.Before(late) {
+		r.tallyDue = true
+	}
 	if r.tallyDue || !now.Before(r.tallyAt) {
 		r.holder.Check()
 		r.sendTally(now)
@@ -187,6 +192,9 @@
 		return time.Time{}
 	}
 	next := r.tallyAt
+	if late, ok := r.holder.LateAt(); ok && late.Before(next) {
+		next = late
+	}
 	if l := r.current; l != nil && l.goneAt.IsZero() {
 		if !l.holding && l.holdAt.Before(next) {
 			next = l.holdAt
@@ -202,6 +210,9 @@
 func (r *Runner) sendTally(now time.Time) {
 	r.tallyDue = false
 	r.tallyAt = now.Add(r.config.Interval)
+	if len(r.holder.Targets()) > 1 {
+		r.tallyAt = now.Add(searchPause)
+	}
 	renew := r.holder.Renew(hsmessage.RoleRunner)
 	r.sent[renew.Sequence] = now
 	delete(r.sent, renew.Sequence-maxSent)
@@ -214,7 +225,9 @@
 	if l := r.current; l != nil {
 		l.tally(&t, now)
 	}
-	r.ports.Sender.Send(r.holder.Target(), t)
+	for _, peer := range r.holder.Targets() {
+		r.ports.Sender.Send(peer, t)
+	}
 }
 
 // maxSent bounds the tallies whose send times are remembered.
