--- a/core/command/hsdispatch/claim.go
+++ b/core/command/hsdispatch/claim.go
@@ -103,35 +103,22 @@
 	if members == nil {
 		members = d.spreadOver(u, rooms, "", v.fit)
 	}
-	if members == nil {
-		return false
-	}
-	if !u.covered && v.loss(members, rooms) > v.budget() {
+	if members == nil || !u.covered && v.loss(members, rooms) > v.budget() {
 		return false
 	}
-	free := map[hsid.InstanceID]hswork.Resources{}
-	for _, m := range members {
-		r := roomOf(rooms, m.Worker)
-		left, ok := free[m.Worker]
-		if !ok {
-			left = r.free
-		}
-		runs, _, _ := v.choose(r, left)
+	v.each(members, rooms, func(runs []placedRun, _ float64) {
 		for _, p := range runs {
 			d.ports.Observer.Preempted(p.run, p.place.Worker, u.job.ID)
 			d.giveWay(p)
 		}
-		free[m.Worker] = left.Minus(need(u.step))
-	}
+	})
 	take(u, members, rooms)
 	d.claims[u.key()] = &claim{members: members, at: now}
 	return true
 }
 
-// loss returns the cost of what gives way for the members. What was chosen for one member counts again for
-// the next one on the same worker, which errs on the side of keeping work.
-func (v *victims) loss(members []hswork.Member, rooms []*room) float64 {
-	total := 0.0
+// each visits the members with what has to give way for each, and the cost of that.
+func (v *victims) each(members []hswork.Member, rooms []*room, visit func(runs []placedRun, cost float64)) {
 	free := map[hsid.InstanceID]hswork.Resources{}
 	for _, m := range members {
 		r := roomOf(rooms, m.Worker)
@@ -139,10 +126,17 @@
 		if !ok {
 			left = r.free
 		}
-		_, cost, _ := v.choose(r, left)
-		total += cost
+		runs, cost, _ := v.choose(r, left)
+		visit(runs, cost)
 		free[m.Worker] = left.Minus(need(v.u.step))
 	}
+}
+
+// loss returns the cost of what gives way for the members. What was chosen for one member counts again for
+// the next one on the same worker, which errs on the side of keeping work.
+func (v *victims) loss(members []hswork.Member, rooms []*room) float64 {
+	total := 0.0
+	v.each(members, rooms, func(_ []placedRun, cost float64) { total += cost })
 	return total
 }
 
--- a/core/command/hsdispatch/worker.go
+++ b/core/command/hsdispatch/worker.go
@@ -1,7 +1,6 @@
 package hsdispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -183,20 +182,10 @@
 		})
 	}
 	for _, runs := range d.placed {
-		slices.SortFunc(runs, func(a, b placedRun) int { return compareRuns(a.run, b.run) })
+		slices.SortFunc(runs, func(a, b placedRun) int { return hswork.CompareRuns(a.run, b.run) })
 	}
 }
 
-func compareRuns(a, b hswork.RunID) int {
-	return cmp.Or(
-		cmp.Compare(a.Task.Work, b.Task.Work),
-		cmp.Compare(a.Task.Occurrence, b.Task.Occurrence),
-		cmp.Compare(a.Task.Step, b.Task.Step),
-		cmp.Compare(a.Task.Index, b.Task.Index),
-		cmp.Compare(a.Number, b.Number),
-	)
-}
-
 // placedOn returns the placed runs of a worker, in order. The caller doesn't change them.
 func (d *Dispatcher) placedOn(id hsid.InstanceID) []placedRun {
 	d.rebuild()
--- a/core/command/hsrunner/life.go
+++ b/core/command/hsrunner/life.go
@@ -212,9 +212,9 @@
 	for run := range l.never {
 		t.Never = append(t.Never, run)
 	}
-	slices.SortFunc(t.Never, compareRuns)
+	slices.SortFunc(t.Never, hswork.CompareRuns)
 	for run, reason := range l.refused {
 		t.Refused = append(t.Refused, hsmessage.RefusedRun{Run: run, Reason: reason})
 	}
-	slices.SortFunc(t.Refused, func(a, b hsmessage.RefusedRun) int { return compareRuns(a.Run, b.Run) })
+	slices.SortFunc(t.Refused, func(a, b hsmessage.RefusedRun) int { return hswork.CompareRuns(a.Run, b.Run) })
 }
--- a/core/command/hsrunner/reconcile.go
+++ b/core/command/hsrunner/reconcile.go
@@ -1,7 +1,6 @@
 package hsrunner
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -10,16 +9,6 @@
 	"hyssopseam/core/hswork"
 )
 
-func compareRuns(a, b hswork.RunID) int {
-	return cmp.Or(
-		cmp.Compare(a.Task.Work, b.Task.Work),
-		cmp.Compare(a.Task.Occurrence, b.Task.Occurrence),
-		cmp.Compare(a.Task.Step, b.Task.Step),
-		cmp.Compare(a.Task.Index, b.Task.Index),
-		cmp.Compare(a.Number, b.Number),
-	)
-}
-
 // reconcile brings the endpoint one step nearer to the plan.
 func (r *Runner) reconcile() {
 	l := r.current
--- a/core/hswork/id.go
+++ b/core/hswork/id.go
@@ -1,6 +1,7 @@
 package hswork
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"strconv"
@@ -84,3 +85,14 @@
 
 // String returns the run as task/number.
 func (r RunID) String() string { return fmt.Sprintf("%s/%d", r.Task, r.Number) }
+
+// CompareRuns orders runs by task and number.
+func CompareRuns(a, b RunID) int {
+	return cmp.Or(
+		cmp.Compare(a.Task.Work, b.Task.Work),
+		cmp.Compare(a.Task.Occurrence, b.Task.Occurrence),
+		cmp.Compare(a.Task.Step, b.Task.Step),
+		cmp.Compare(a.Task.Index, b.Task.Index),
+		cmp.Compare(a.Number, b.Number),
+	)
+}
