--- a/core/command/hsholder/holder.go
+++ b/core/command/hsholder/holder.go
@@ -32,6 +32,9 @@
 	// DefaultPatience is how long an answer may take before the holder asks all control replicas: many times what
 	// one takes between availability zones, and less than an election.
 	DefaultPatience = 300 * time.Millisecond
+	// lostFor is how long a replica that couldn't be reached isn't taken for the leader on the word of others: an
+	// election at its longest.
+	lostFor = time.Second
 	// maxSent bounds the renewals whose send times are remembered.
 	maxSent = 100
 )
@@ -67,6 +70,9 @@
 	contact  time.Time
 	sequence hsid.Sequence
 	sent     map[hsid.Sequence]time.Time
+	// lost is the replica that couldn't be reached last, and lostAt when that was.
+	lost   hsstate.Peer
+	lostAt time.Time
 	// waiting is when the oldest renewal since the last answer was made; zero when none waits.
 	waiting time.Time
 }
@@ -193,15 +199,23 @@
 	if from != h.Target() {
 		return false
 	}
-	if leader != "" && leader != from {
+	if leader != "" && leader != from && !h.unreachable(leader) {
 		h.leader = leader
 		return true
 	}
 	return h.next()
 }
 
+// unreachable reports whether a replica couldn't be reached a short while ago. Others may name it for as long as
+// they take to elect the next leader.
+func (h *Holder) unreachable(peer hsstate.Peer) bool {
+	return peer == h.lost && h.clock.Now().Sub(h.lostAt) < lostFor
+}
+
 // Lost takes the news that a control replica can't be reached. It reports whether the target changed.
 func (h *Holder) Lost(peer hsstate.Peer) bool {
+	h.lost = peer
+	h.lostAt = h.clock.Now()
 	if peer != h.Target() {
 		return false
 	}
--- a/core/command/hsquorum/cluster_test.go
+++ b/core/command/hsquorum/cluster_test.go
@@ -36,6 +36,8 @@
 	stored  hsquorum.Stored
 	pending *hsquorum.Save
 	applied []string
+	// stuck is set while the disk answers nothing.
+	stuck bool
 }
 
 // cluster is a set of replicas under a test's control, with an oracle.
@@ -141,7 +143,7 @@
 
 // sync ends the save under way.
 func (n *node) sync() {
-	if n.replica == nil || n.pending == nil {
+	if n.replica == nil || n.pending == nil || n.stuck {
 		return
 	}
 	s := *n.pending
--- a/core/command/hsquorum/disk.go
+++ b/core/command/hsquorum/disk.go
@@ -1,6 +1,8 @@
 package hsquorum
 
 import (
+	"time"
+
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
@@ -9,8 +11,10 @@
 // diskState tracks what is on the disk and what waits for it. At most one save is under way, so that
 // one sync covers all that came meanwhile.
 type diskState struct {
-	number    hsid.Sequence
-	busy      bool
+	number hsid.Sequence
+	busy   bool
+	// began is when the save under way was handed over.
+	began     time.Time
 	dirtyHard bool
 	// saved is the last index handed to a save, synced the last one known to be on the disk.
 	saved  hsid.LogIndex
@@ -28,6 +32,15 @@
 	message hsmessage.Message
 }
 
+// stuckElections is how many election timeouts a save may take before the disk counts as stuck.
+const stuckElections = 2
+
+// diskStuck reports whether the save under way takes so long that this replica had better not lead: its disk is
+// full, or answers nothing.
+func (r *Replica) diskStuck() bool {
+	return r.disk.busy && r.ports.Clock.Now().Sub(r.disk.began) > stuckElections*r.config.Election
+}
+
 func (d *diskState) truncated(i hsid.LogIndex) {
 	d.saved = min(d.saved, i-1)
 	d.synced = min(d.synced, i-1)
@@ -63,6 +76,7 @@
 	r.disk.pending = nil
 	r.disk.dirtyHard = false
 	r.disk.busy = true
+	r.disk.began = r.ports.Clock.Now()
 	r.disk.flying = r.disk.saved
 	r.disk.number++
 	s.Number = r.disk.number
--- a/core/command/hsquorum/leader.go
+++ b/core/command/hsquorum/leader.go
@@ -68,6 +68,9 @@
 	if now.Before(r.heartbeatAt) {
 		return
 	}
+	if r.diskStuck() && r.HandOver() {
+		return
+	}
 	r.heartbeat(now)
 }
 
--- a/core/command/hsquorum/replica.go
+++ b/core/command/hsquorum/replica.go
@@ -126,7 +126,7 @@
 			r.receiveSnapshotReply(m)
 		}
 	case hsmessage.TransferLeadership:
-		if r.accepts(m.Header) && m.Term == r.hard.Term && r.role == Follower && r.isVoter() {
+		if r.accepts(m.Header) && m.Term == r.hard.Term && r.role == Follower && r.isVoter() && !r.diskStuck() {
 			r.campaign(true)
 		}
 	}
@@ -143,7 +143,7 @@
 		return
 	}
 	r.resetElection()
-	if r.mayCampaign() {
+	if r.mayCampaign() && !r.diskStuck() {
 		r.preCampaign()
 	}
 }
--- a/core/command/hsquorum/scenario_test.go
+++ b/core/command/hsquorum/scenario_test.go
@@ -233,3 +233,24 @@
 	}
 	c.settle()
 }
+
+// TestStuckDisk checks that a leader whose disk answers nothing gives way to another, and stands for nothing
+// until it does again.
+func TestStuckDisk(t *testing.T) {
+	c := newCluster(t, 5, 3, 0, hsquorum.Config{})
+	l := lead(t, c)
+	l.stuck = true
+	c.propose()
+	c.run(80, round)
+	next := lead(t, c)
+	if next == l {
+		t.Fatalf("got replica %d leading with a stuck disk, want another", l.id)
+	}
+	c.propose()
+	c.run(200, round)
+	if l.replica.Role() == hsquorum.Leader {
+		t.Errorf("got replica %d leading with a stuck disk, want another", l.id)
+	}
+	l.stuck = false
+	c.settle()
+}
--- a/io/hsdisk/bench_test.go
+++ b/io/hsdisk/bench_test.go
@@ -22,7 +22,7 @@
 	}
 	for _, tt := range tables {
 		b.Run(fmt.Sprintf("entries%d/snapshot_%v", tt.entries, tt.snapshot), func(b *testing.B) {
-			f := folder{path: b.TempDir(), sync: (*os.File).Sync}
+			f := folder{path: b.TempDir(), sync: (*os.File).Sync, write: (*os.File).Write}
 			done := make(chan error, 1)
 			report := func(_ hsid.Sequence, err error) { done <- err }
 			d, _, err := open(f, report)
--- a/io/hsdisk/disk.go
+++ b/io/hsdisk/disk.go
@@ -1,10 +1,13 @@
 package hsdisk
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
 	"sync"
+	"syscall"
+	"time"
 
 	"hyssopseam/core/command/hsquorum"
 	"hyssopseam/core/hsid"
@@ -31,13 +34,18 @@
 	Cut int
 }
 
+// fullPause is the time between two tries to write to a full disk.
+const fullPause = 500 * time.Millisecond
+
 // Disk writes the saves of one replica, in order, on a goroutine of its own. Save may be called from
 // one goroutine only.
 type Disk struct {
 	folder folder
 	done   Done
 	saves  chan hsquorum.Save
-	ended  sync.WaitGroup
+	// closing is closed when the disk is.
+	closing chan struct{}
+	ended   sync.WaitGroup
 
 	// The fields below belong to the writing goroutine.
 	log      *os.File
@@ -49,7 +57,7 @@
 // Open reads a data folder, which it creates when it is missing, and starts writing to it. Done is
 // called once for each save.
 func Open(path string, done Done) (*Disk, Contents, error) {
-	return open(folder{path: path, sync: (*os.File).Sync}, done)
+	return open(folder{path: path, sync: (*os.File).Sync, write: (*os.File).Write}, done)
 }
 
 func open(f folder, done Done) (*Disk, Contents, error) {
@@ -62,7 +70,7 @@
 		return nil, c, err
 	}
 	c.Replica = id
-	d := &Disk{folder: f, done: done, saves: make(chan hsquorum.Save, 1)}
+	d := &Disk{folder: f, done: done, saves: make(chan hsquorum.Save, 1), closing: make(chan struct{})}
 	if err := d.load(&c); err != nil {
 		return nil, c, err
 	}
@@ -75,6 +83,7 @@
 
 // Close waits for the save under way and closes the log.
 func (d *Disk) Close() error {
+	close(d.closing)
 	close(d.saves)
 	d.ended.Wait()
 	if d.log == nil {
@@ -188,16 +197,32 @@
 	return d.folder.removeBut(snapshotPrefix, uint64(d.snapshot))
 }
 
-// run writes one save after the other. After a failure it writes nothing more.
+// run writes one save after the other. After a failure it writes nothing more. While the disk is full the save
+// waits: nothing of it is acknowledged, and space may come back.
 func (d *Disk) run() {
 	for s := range d.saves {
 		if d.failed == nil {
 			d.failed = d.write(s)
 		}
+		for errors.Is(d.failed, syscall.ENOSPC) && d.pause() {
+			d.failed = d.write(s)
+		}
 		d.done(s.Number, d.failed)
 	}
 }
 
+// pause waits before a save is tried again, and reports false when the disk is being closed.
+func (d *Disk) pause() bool {
+	timer := time.NewTimer(fullPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-d.closing:
+		return false
+	}
+}
+
 func (d *Disk) write(s hsquorum.Save) error {
 	if s.Snapshot != nil {
 		return d.writeSnapshot(s)
@@ -206,11 +231,20 @@
 	if err != nil {
 		return err
 	}
-	if _, err := d.log.Write(appendRecord(nil, content)); err != nil {
+	info, err := d.log.Stat()
+	if err != nil {
+		return fmt.Errorf("hsdisk: %w", err)
+	}
+	if _, err := d.folder.write(d.log, appendRecord(nil, content)); err != nil {
+		// What was written of the record goes, so that it can be written again.
+		if cut := d.log.Truncate(info.Size()); cut != nil {
+			return fmt.Errorf("hsdisk: cut back after %s: %w", err, cut)
+		}
 		return fmt.Errorf("hsdisk: %w", err)
 	}
 	if err := d.folder.sync(d.log); err != nil {
-		return fmt.Errorf("hsdisk: sync %s: %w", d.log.Name(), err)
+		// A sync that failed may have lost what it covers, whatever the reason says.
+		return fmt.Errorf("hsdisk: sync %s: %s", d.log.Name(), err)
 	}
 	return nil
 }
--- a/io/hsdisk/disk_test.go
+++ b/io/hsdisk/disk_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	"hyssopseam/core/command/hsquorum"
@@ -49,7 +50,7 @@
 // filled writes entries 1 to 6 in three saves and closes the folder.
 func filled(t *testing.T) folder {
 	t.Helper()
-	f := folder{path: t.TempDir(), sync: (*os.File).Sync}
+	f := folder{path: t.TempDir(), sync: (*os.File).Sync, write: (*os.File).Write}
 	d, _, done := openTest(t, f)
 	for i := range hsid.LogIndex(3) {
 		s := hsquorum.Save{Hard: hsquorum.HardState{Term: 2, Vote: 7}, Entries: entries(2*i+1, 2*i+2, 1)}
@@ -145,7 +146,7 @@
 // TestFailedSync checks that nothing is written after a sync that failed.
 func TestFailedSync(t *testing.T) {
 	failing := false
-	f := folder{path: t.TempDir(), sync: func(x *os.File) error {
+	f := folder{path: t.TempDir(), write: (*os.File).Write, sync: func(x *os.File) error {
 		if failing {
 			return errors.New("input/output error")
 		}
@@ -165,6 +166,31 @@
 	}
 }
 
+// TestFullDisk checks that a save waits while the disk is full, and is whole once there is room.
+func TestFullDisk(t *testing.T) {
+	refusals := 2
+	f := folder{path: t.TempDir(), sync: (*os.File).Sync, write: (*os.File).Write}
+	f.write = func(x *os.File, data []byte) (int, error) {
+		if refusals == 0 {
+			return x.Write(data)
+		}
+		refusals--
+		n, err := x.Write(data[:len(data)/2])
+		return n, errors.Join(syscall.ENOSPC, err)
+	}
+	d, _, done := openTest(t, f)
+	if err := save(t, d, done, hsquorum.Save{Entries: entries(1, 3, 1)}); err != nil {
+		t.Errorf("got %v from a save on a disk that was full for a while, want nil", err)
+	}
+	if err := d.Close(); err != nil {
+		t.Error(err)
+	}
+	_, c, _ := openTest(t, folder{path: f.path, sync: (*os.File).Sync, write: (*os.File).Write})
+	if got := len(c.Stored.Entries); got != 3 || c.Cut != 0 {
+		t.Errorf("got %d entries and %d bytes cut off, want 3 and none", got, c.Cut)
+	}
+}
+
 // TestForm checks that a folder is formed once, and that a missing identity is damage.
 func TestForm(t *testing.T) {
 	path := t.TempDir()
--- a/io/hsdisk/folder.go
+++ b/io/hsdisk/folder.go
@@ -26,6 +26,8 @@
 type folder struct {
 	path string
 	sync func(f *os.File) error
+	// write appends to the log.
+	write func(f *os.File, data []byte) (int, error)
 }
 
 func (d *folder) name(file string) string { return filepath.Join(d.path, file) }
--- a/io/hssettings/settings_test.go
+++ b/io/hssettings/settings_test.go
@@ -39,6 +39,10 @@
 		{"election too short", good + "[control]\nheartbeat = \"100ms\"\nelection = \"200ms\"\n", []string{"line 10: control.election"}},
 		{"bad weight", good + "[control]\ncompletionWeight = -1.0\n", []string{"line 9: control.completionWeight"}},
 		{"half of TLS", good + "[tls]\ncertificate = \"x\"\n", []string{"line 9: tls.certificate"}},
+		{"address of the gateway", good + "[gateway]\ncallers = \"front:80\"\n", []string{"line 9: gateway.callers", "IP number"}},
+		{"too many losses", good + "[control]\ntolerate = 4\n", []string{"line 9: control.tolerate"}},
+		{"link port", good + "linkPort = 70000\n", []string{"line 8: linkPort"}},
+		{"memory below zero", good + "memoryMb = -1\n", []string{"line 8: memoryMb"}},
 		{"several", "instance = \"\"\nroles = [\"x\"]\n", []string{"instance", "zone", "roles", "http", "controls"}},
 	}
 	for _, tt := range tables {
@@ -67,3 +71,45 @@
 		}
 	}
 }
+
+// TestSeeds checks what follows from the seeds and the losses that are tolerated.
+func TestSeeds(t *testing.T) {
+	const seeded = `instance = "a"
+zone = "z"
+roles = ["control"]
+http = "127.0.0.1:8100"
+link = "127.0.0.1:7100"
+seeds = ["127.0.0.1:8526", "127.0.0.2:8526"]
+linkPort = 7100
+found = true
+dataFolder = "data"
+[control]
+tolerate = 2
+`
+	tables := []struct {
+		name    string
+		content string
+		founder bool
+	}{
+		{"the first seed", seeded, true},
+		{"another seed", strings.Replace(seeded, `link = "127.0.0.1`, `link = "127.0.0.2`, 1), false},
+		{"no seed at all", strings.Replace(seeded, `link = "127.0.0.1`, `link = "127.0.0.3`, 1), false},
+		{"not at the founding", strings.Replace(seeded, "found = true", "found = false", 1), false},
+	}
+	for _, tt := range tables {
+		s, err := hssettings.Parse([]byte(tt.content))
+		if err != nil {
+			t.Errorf("%s: got %v, want settings", tt.name, err)
+			continue
+		}
+		if got := s.Founder(); got != tt.founder {
+			t.Errorf("%s: got founder %v, want %v", tt.name, got, tt.founder)
+		}
+		if got, want := len(s.Controls), 2; got != want || s.Controls[1] != "127.0.0.2:7100" {
+			t.Errorf("%s: got controls %v, want those of the seeds on the link port", tt.name, s.Controls)
+		}
+		if got, want := s.Control.Replicas, 5; got != want {
+			t.Errorf("%s: got %d replicas, want %d", tt.name, got, want)
+		}
+	}
+}
