--- a/core/command/hsdispatch/bed_test.go
+++ b/core/command/hsdispatch/bed_test.go
@@ -92,7 +92,7 @@
 		Instance:    hsid.InstanceID(id),
 		Incarnation: 7,
 		Endpoint: hsmessage.Endpoint{
-			ID: hswork.EndpointID("e-" + id), Life: 1, Pool: "pool", Labels: []hswork.Label{"a", hswork.Label(rack)},
+			ID: hswork.EndpointID("e-" + id), Life: 1, Pool: "pool", Labels: []hswork.Label{"a", hswork.Label(rack)}, Rack: hswork.Label(rack),
 			Capacity: hswork.Resources{Cores: 32000, Memory: 128 * hsid.GiB, Accelerators: 8},
 		},
 		Listed:  true,
--- a/core/command/hsdispatch/claim.go
+++ b/core/command/hsdispatch/claim.go
@@ -14,7 +14,7 @@
 	claimFactor = 4
 	// unseenWork is the work that a run is taken to lose when its start wasn't seen by this leader.
 	unseenWork = 5 * time.Second
-	// acceleratorCores is how many cores of work an accelerator stands for.
+	// acceleratorCores is how many cores of work an accelerator stands for, as the users count it.
 	acceleratorCores = 8
 	// preemptAfter is how long a unit below priority 0 waits before others give way to it.
 	preemptAfter = time.Second
--- a/core/command/hsdispatch/order.go
+++ b/core/command/hsdispatch/order.go
@@ -7,7 +7,7 @@
 	"hyssopseam/core/hswork"
 )
 
-// lateFactor is how many times its latency objective a job may take and still be worth something.
+// lateFactor is how many times its latency objective a job may take and still be worth something to the users.
 const lateFactor = 3
 
 // bulkFactor weighs the size of a job against its slack.
--- a/core/command/hsdispatch/place.go
+++ b/core/command/hsdispatch/place.go
@@ -111,55 +111,63 @@
 
 // spreadCost places each task of a unit on the worker where it costs least, on one rack or on any.
 func (d *Dispatcher) spreadCost(u *unit, rooms []*room, rack hswork.Label, fit fitting) ([]hswork.Member, float64) {
-	left := map[hsid.InstanceID]hswork.Resources{}
 	counts := d.occupancy(u)
+	left := map[hsid.InstanceID]hswork.Resources{}
+	var open []*room
+	for _, r := range rooms {
+		if d.isOpen(u, r, rack) {
+			open = append(open, r)
+			left[r.worker.id] = r.free
+		}
+	}
 	total := 0.0
 	var members []hswork.Member
 	for _, t := range u.tasks {
-		var best *room
-		bestCost := 0.0
-		for _, r := range rooms {
-			if rack != "" && r.rack != rack || !r.suits(u.job.Pool, u.step) {
-				continue
-			}
-			if _, ok := d.permitted(u, r); !ok {
-				continue
-			}
-			if !u.covered && !r.reserved.admits(need(u.step), d.expectStep(u.job, u.step)) {
-				continue
-			}
-			if u.step.Spread > 0 && counts[r.worker.id] >= u.step.Spread {
-				continue
-			}
-			free, ok := left[r.worker.id]
-			if !ok {
-				free = r.free
-			}
-			cost, ok := fit(u, r, free)
-			if !ok {
-				continue
-			}
-			cost += misgivings(u, r)
-			if best == nil || cost < bestCost {
-				best = r
-				bestCost = cost
-			}
-		}
+		best, cost := cheapest(u, open, left, counts, fit)
 		if best == nil {
 			return nil, 0
 		}
-		free, ok := left[best.worker.id]
-		if !ok {
-			free = best.free
-		}
-		left[best.worker.id] = free.Minus(need(u.step))
-		counts[best.worker.id]++
-		total += bestCost
+		id := best.worker.id
+		left[id] = left[id].Minus(need(u.step))
+		counts[id]++
+		total += cost
 		members = append(members, best.member(t))
 	}
 	return members, total
 }
 
+// isOpen reports whether a unit may be placed on a worker if there is room.
+func (d *Dispatcher) isOpen(u *unit, r *room, rack hswork.Label) bool {
+	if rack != "" && r.rack != rack || !r.suits(u.job.Pool, u.step) {
+		return false
+	}
+	if _, ok := d.permitted(u, r); !ok {
+		return false
+	}
+	return u.covered || r.reserved.admits(need(u.step), d.expectStep(u.job, u.step))
+}
+
+// cheapest returns the worker where the next task of a unit costs least, or nil.
+func cheapest(u *unit, open []*room, left map[hsid.InstanceID]hswork.Resources, counts map[hsid.InstanceID]int, fit fitting) (*room, float64) {
+	var best *room
+	bestCost := 0.0
+	for _, r := range open {
+		if u.step.Spread > 0 && counts[r.worker.id] >= u.step.Spread {
+			continue
+		}
+		cost, ok := fit(u, r, left[r.worker.id])
+		if !ok {
+			continue
+		}
+		cost += misgivings(u, r)
+		if best == nil || cost < bestCost {
+			best = r
+			bestCost = cost
+		}
+	}
+	return best, bestCost
+}
+
 // misgivings is the cost of a worker that the unit would rather not run on.
 func misgivings(u *unit, r *room) float64 {
 	cost := 0.0
--- a/core/command/hsdispatch/room.go
+++ b/core/command/hsdispatch/room.go
@@ -9,9 +9,6 @@
 	"hyssopseam/core/hswork"
 )
 
-// rackPrefix starts the label that names an endpoint's rack.
-const rackPrefix = "r"
-
 // room is what is free on a worker that takes new runs.
 type room struct {
 	worker *worker
@@ -29,7 +26,7 @@
 		if usableTally(&w.tally) && now.Sub(w.heard) < silence && !d.isVacant(w.tally.Endpoint.ID, now) {
 			w.health.forgive(now)
 			e := &w.tally.Endpoint
-			rooms = append(rooms, &room{worker: w, rack: rackOf(e.Labels), all: e.Capacity, free: e.Capacity.Minus(d.used(w))})
+			rooms = append(rooms, &room{worker: w, rack: e.Rack, all: e.Capacity, free: e.Capacity.Minus(d.used(w))})
 		}
 	}
 	d.cores = 0
@@ -81,16 +78,6 @@
 	return nil
 }
 
-// rackOf returns the label that names a rack, or an empty one.
-func rackOf(labels []hswork.Label) hswork.Label {
-	for _, l := range labels {
-		if strings.HasPrefix(string(l), rackPrefix) && strings.Contains(string(l), "-") {
-			return l
-		}
-	}
-	return ""
-}
-
 // suits reports whether a worker may run the tasks of a step at all, whatever it runs now.
 func (r *room) suits(pool hswork.PoolName, s *hswork.Step) bool {
 	e := &r.worker.tally.Endpoint
--- a/core/hsmessage/work.go
+++ b/core/hsmessage/work.go
@@ -71,10 +71,12 @@
 
 // Endpoint describes the endpoint beside a runner, as it announced itself.
 type Endpoint struct {
-	ID       hswork.EndpointID
-	Life     hswork.Life
-	Pool     hswork.PoolName
-	Labels   []hswork.Label
+	ID     hswork.EndpointID
+	Life   hswork.Life
+	Pool   hswork.PoolName
+	Labels []hswork.Label
+	// Rack is the label among them that names the rack; empty where it isn't known.
+	Rack     hswork.Label
 	Capacity hswork.Resources
 	// Leaving is set when it takes no new work; LeavesIn is how long it still runs at least.
 	Leaving  bool
--- a/test/whole/work_test.go
+++ b/test/whole/work_test.go
@@ -73,6 +73,7 @@
 			ID:       hswork.EndpointID(fmt.Sprintf("e%d", i+1)),
 			Pool:     "pool",
 			Labels:   []hswork.Label{"a", hswork.Label(fmt.Sprintf("r1-%d", i/2+1))},
+			Rack:     hswork.Label(fmt.Sprintf("r1-%d", i/2+1)),
 			Capacity: hswork.Resources{Cores: 8000, Memory: 8 * hsid.GiB, Accelerators: 8},
 		})
 		r.Endpoint.LateShare = late
