hscontrol: a newcomer that is gone doesn't keep another one waiting

Newcomers join only if they offered themselves within a second, and offer themselves four times a second; a later identity at an address takes the place of the earlier one. TestDeadNewcomer fails without the change.

--- a/core/command/hscontrol/control.go
+++ b/core/command/hscontrol/control.go
@@ -20,7 +20,9 @@
 	// lead is what this replica knows as the leader; nil while it doesn't lead.
 	lead      *leadership
 	newcomers map[hsid.ReplicaID]newcomer
-	draining  bool
+	// offerAt is when this replica may offer itself next.
+	offerAt  time.Time
+	draining bool
 }
 
 type newcomer struct {
@@ -102,7 +104,13 @@
 }
 
 // NextWake returns when Wake is wanted next.
-func (c *Control) NextWake() time.Time { return c.replica.NextWake() }
+func (c *Control) NextWake() time.Time {
+	next := c.replica.NextWake()
+	if at, ok := c.nextOffer(); ok && at.Before(next) {
+		return at
+	}
+	return next
+}
 
 // Flush runs what was put off to the end of a batch of inputs: a scheduling pass, the orders to agents,
 // and the save of new log entries.
--- a/core/command/hscontrol/members.go
+++ b/core/command/hscontrol/members.go
@@ -16,8 +16,14 @@
 // MaxReplicas is the largest number of control replicas.
 const MaxReplicas = 7
 
-// newcomerSilence is how long a newcomer is remembered.
-const newcomerSilence = 5 * time.Second
+const (
+	// newcomerSilence is how long a newcomer is remembered. One that may join without being asked for has to have
+	// offered itself within newcomerFresh: a dead one would keep the others waiting.
+	newcomerSilence = 5 * time.Second
+	newcomerFresh   = time.Second
+	// offerInterval is the time between two offers of a newcomer.
+	offerInterval = 250 * time.Millisecond
+)
 
 // proposeMembers asks for a change of the members. The reply comes once it is applied.
 func (c *Control) proposeMembers(a awaited, members []hsstate.Member) {
@@ -106,7 +112,7 @@
 		return slices.Delete(members, learner, learner+1)
 	}
 	for _, n := range c.sortedNewcomers() {
-		if !c.mayJoin(n) || hsstate.MemberIndex(members, n.ID) >= 0 {
+		if !c.mayJoin(n) || c.ports.Clock.Now().Sub(c.newcomers[n.ID].seen) > newcomerFresh || hsstate.MemberIndex(members, n.ID) >= 0 {
 			continue
 		}
 		replaced, ok := c.replacedBy(n, members)
@@ -166,6 +172,12 @@
 // receiveNewcomer remembers a newcomer, and tells the leader of it: a newcomer may know only replicas that
 // don't lead.
 func (c *Control) receiveNewcomer(m hsmessage.Newcomer) {
+	for id, n := range c.newcomers {
+		if n.message.Address == m.Address && id != m.ID {
+			// Its disk was lost again before it joined.
+			delete(c.newcomers, id)
+		}
+	}
 	c.newcomers[m.ID] = newcomer{message: m, seen: c.ports.Clock.Now()}
 	leader := c.replica.LeaderAddress()
 	if m.Relayed || leader == "" || c.replica.Role() == hsquorum.Leader {
@@ -178,6 +190,11 @@
 // offerToJoin tells the other control replicas of this one while no membership lists it, or while it hears
 // of no leader: it may have been replaced without having heard of it.
 func (c *Control) offerToJoin() {
+	now := c.ports.Clock.Now()
+	if now.Before(c.offerAt) {
+		return
+	}
+	c.offerAt = now.Add(offerInterval)
 	member := hsstate.MemberIndex(c.replica.Members(), c.replica.ID()) >= 0
 	if member && (c.config.ReplaceAfter == 0 || c.replica.HeardLeader(2*c.config.ReplaceAfter)) {
 		return
@@ -198,6 +215,11 @@
 	}
 }
 
+// nextOffer returns when this replica offers itself next, if it does.
+func (c *Control) nextOffer() (time.Time, bool) {
+	return c.offerAt, c.replica.Role() != hsquorum.Leader && hsstate.MemberIndex(c.replica.Members(), c.replica.ID()) < 0
+}
+
 func (c *Control) sortedNewcomers() []hsmessage.Newcomer {
 	all := make([]hsmessage.Newcomer, 0, len(c.newcomers))
 	for _, n := range c.newcomers {
--- a/test/whole/member_test.go
+++ b/test/whole/member_test.go
@@ -238,3 +238,46 @@
 		}
 	}
 }
+
+// TestDeadNewcomer checks that a newcomer whose disk is lost again before it joins doesn't keep another one
+// waiting. Found by TestMembers (seed 1710091).
+func TestDeadNewcomer(t *testing.T) {
+	w := play.New(play.Config{
+		Seed:     11,
+		Controls: 2*tolerated + 1,
+		Control:  hscontrol.Config{ReplaceAfter: 1500 * time.Millisecond},
+		Interval: 500 * time.Millisecond,
+		Copy:     true,
+	})
+	w.Run(3 * time.Second)
+	dead, live := w.Controls[2], w.Controls[3]
+	for _, n := range []*play.Control{dead, live} {
+		n.Wipe()
+		n.Start()
+	}
+	if dead.Role().Replica().ID() > live.Role().Replica().ID() {
+		// The one with the lower identifier is the first in line.
+		dead, live = live, dead
+	}
+	first := dead.Role().Replica().ID()
+	joined := func() bool {
+		l := w.Leader()
+		return l != nil && hsstate.MemberIndex(l.Replica().Members(), first) >= 0
+	}
+	if !w.Await(mended, joined) {
+		t.Fatalf("got replica %d not joining, want it to", first)
+	}
+	dead.Wipe()
+	id := live.Role().Replica().ID()
+	votes := func() bool {
+		l := w.Leader()
+		if l == nil {
+			return false
+		}
+		at := hsstate.MemberIndex(l.Replica().Members(), id)
+		return at >= 0 && l.Replica().Members()[at].Voter
+	}
+	if !w.Await(mended, votes) {
+		t.Errorf("got no vote for the newcomer within %s", mended)
+	}
+}
