hsdispatch: nothing is left to run when a worker leaves

A run was done at 27.001 s, its worker closed its connections at 27.003 s without having answered the hold, and the task was started again at 27.52 s. Now runs that won't end within the time that the worker says it stays are stopped at once, and the rest before that time is up, with a stop and a note to spare. TestLeaving fails without the change.

--- a/core/command/hsdispatch/stall.go
+++ b/core/command/hsdispatch/stall.go
@@ -15,6 +15,8 @@
 	gangStallAfter = 4 * time.Second
 	// redoShare is how long a run may make no progress for the work that it would lose, in percent of that work.
 	redoShare = 50
+	// noteTime is how long an end takes to be listed, committed and noted.
+	noteTime = 300 * time.Millisecond
 	// gangWaits is the progress from which on a member of a gang may be waiting for slower members: they end
 	// together.
 	gangWaits = 95
@@ -36,8 +38,8 @@
 	}
 }
 
-// moveStalled has runs stopped that make no progress, and those that will be lost with their worker and keep
-// their progress. They start anew elsewhere.
+// moveStalled has runs stopped that make no progress, and those that won't be over before their worker leaves.
+// They start anew elsewhere.
 func (d *Dispatcher) moveStalled(now time.Time) {
 	for _, id := range d.placedWorkers() {
 		w := d.workers[id]
@@ -46,12 +48,13 @@
 		}
 		for _, p := range d.placedOn(id) {
 			switch {
-			case d.stopping[p.run] || d.ending[p.run] || p.job.Phase != hswork.Open || p.step.Lasts:
+			case d.stopping[p.run] || d.ending[p.run] || p.job.Phase != hswork.Open:
+			case p.step.Lasts && !w.tally.Endpoint.Leaving:
 			case d.stalled(p, now):
 				w.health.stalled(now)
 				d.ports.Observer.Stalled(p.run, id)
 				d.giveWay(p)
-			case w.tally.Endpoint.Leaving && p.step.Saves && d.remaining(p, now) > w.tally.Endpoint.LeavesIn:
+			case w.tally.Endpoint.Leaving && d.outlasts(p, w.tally.Endpoint.LeavesIn, now):
 				d.ports.Observer.Moved(p.run, id)
 				d.giveWay(p)
 			}
@@ -59,6 +62,13 @@
 	}
 }
 
+// outlasts reports whether a run has to be stopped because its worker leaves: it isn't going to end in time, or
+// the time is up. A run that ends in the moment in which its worker leaves would end unseen, and run again.
+func (d *Dispatcher) outlasts(p placedRun, leaves time.Duration, now time.Time) bool {
+	left := leaves - d.config.StopTimeout - noteTime
+	return left <= 0 || d.remaining(p, now) > left
+}
+
 // stalled reports whether a run makes no progress for longer than it is worth waiting for.
 func (d *Dispatcher) stalled(p placedRun, now time.Time) bool {
 	seen, ok := d.progress[p.run]
--- a/core/command/hsdispatch/stall_test.go
+++ b/core/command/hsdispatch/stall_test.go
@@ -38,3 +38,32 @@
 		}
 	}
 }
+
+// TestLeaving checks that nothing is left to run when a worker leaves, and that what ends before isn't stopped.
+func TestLeaving(t *testing.T) {
+	long := step(1, 1000, 1)
+	short := with(step(1, 1000, 1), func(s *hswork.Step) { s.Estimate = 500 * time.Millisecond })
+	tables := []struct {
+		name   string
+		step   hswork.Step
+		leaves time.Duration
+		moved  bool
+	}{
+		{"one that would be lost", long, 2 * time.Second, true},
+		{"one that ends before", short, 2 * time.Second, false},
+		{"one that would end in the last moment", short, 600 * time.Millisecond, true},
+		{"a lasting one", with(long, func(s *hswork.Step) { s.Lasts = true }), 2 * time.Second, true},
+	}
+	for _, tt := range tables {
+		b := newBed(t)
+		a := b.worker("a", "r1-1")
+		b.submit(1, 1, "w2", tt.step)
+		b.begin("a")
+		a.Endpoint.Leaving = true
+		a.Endpoint.LeavesIn = tt.leaves
+		b.settle(100 * time.Millisecond)
+		if got := len(b.plans["a"].Runs) == 0; got != tt.moved {
+			t.Errorf("%s: got moved %v, want %v", tt.name, got, tt.moved)
+		}
+	}
+}
--- a/io/hsdecision/book.go
+++ b/io/hsdecision/book.go
@@ -123,9 +123,9 @@
 	b.log.Warn("run makes no progress", "run", run, "worker", worker)
 }
 
-// Moved records that a run is stopped because its worker leaves.
+// Moved records that a run is stopped because its worker leaves or is to be free.
 func (b *Book) Moved(run hswork.RunID, worker hsid.InstanceID) {
-	b.log.Info("run leaves with its checkpoint", "run", run, "worker", worker)
+	b.log.Info("run is moved off its worker", "run", run, "worker", worker)
 }
 
 // WorkerChanged records that a worker became usable, or isn't any more.
