--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -226,7 +226,7 @@
 		d.passDue = false
 		d.passAt = d.ports.Clock.Now()
 		d.endLost(d.passAt)
-		d.moveStalled(d.passAt)
+		d.moveRuns(d.passAt)
 		d.schedule(d.passAt)
 	}
 	d.sendPlans()
--- a/core/command/hsdispatch/stall.go
+++ b/core/command/hsdispatch/stall.go
@@ -38,9 +38,9 @@
 	}
 }
 
-// moveStalled has runs stopped that make no progress, and those that won't be over before their worker leaves.
+// moveRuns has runs stopped that make no progress, and those that won't be over before their worker leaves.
 // They start anew elsewhere.
-func (d *Dispatcher) moveStalled(now time.Time) {
+func (d *Dispatcher) moveRuns(now time.Time) {
 	for _, id := range d.placedWorkers() {
 		w := d.workers[id]
 		if w == nil || now.Sub(w.heard) > silence || !w.tally.Healthy {
