hsrunner: a job without a description starts as well

Found by reading: a planned run whose description was empty was taken for one that the endpoint has, and never started. The plan says so in a field of its own now; TestCalls fails without the change.

--- a/core/command/hsdispatch/plan.go
+++ b/core/command/hsdispatch/plan.go
@@ -82,8 +82,8 @@
 		TailTarget: r.step.TailTarget,
 		Fills:      r.step.Fills,
 	}
-	atWork := slices.ContainsFunc(w.tally.Running, func(x hsmessage.RunningTask) bool { return x.Run == r.run })
-	if !atWork {
+	p.Known = slices.ContainsFunc(w.tally.Running, func(x hsmessage.RunningTask) bool { return x.Run == r.run })
+	if !p.Known {
 		p.Spec = r.job.Spec
 	}
 	return p
--- a/core/command/hsrunner/reconcile.go
+++ b/core/command/hsrunner/reconcile.go
@@ -115,7 +115,7 @@
 
 // mayStart reports whether a planned run is missing and may begin.
 func (r *Runner) mayStart(l *life, p *hsmessage.PlannedRun, now time.Time) bool {
-	if l.isRunning(p.Run) || l.hasEnded(p.Run) || l.never[p.Run] || r.sealed[p.Run] || p.Spec == "" && l.calls[p.Run] == nil {
+	if l.isRunning(p.Run) || l.hasEnded(p.Run) || l.never[p.Run] || r.sealed[p.Run] || p.Known {
 		return false
 	}
 	if _, refused := l.refused[p.Run]; refused || l.endpoint.Leaving || l.unsure {
--- a/core/command/hsrunner/runner_test.go
+++ b/core/command/hsrunner/runner_test.go
@@ -178,6 +178,12 @@
 			b.pass(9 * time.Second)
 			b.plan(func(p *hsmessage.Plan) { one(p); p.Sequence = 0 })
 		}, nil},
+		{"a run without a description is started", func(b *bed) {
+			b.plan(func(p *hsmessage.Plan) { p.Runs = []hsmessage.PlannedRun{{Run: run(0)}} })
+		}, []string{"start j.0.0.0/1"}},
+		{"a run that the leader takes to be there waits for the next plan", func(b *bed) {
+			b.plan(func(p *hsmessage.Plan) { p.Runs = []hsmessage.PlannedRun{{Run: run(0), Known: true}} })
+		}, nil},
 		{"a run that ended isn't started again", func(b *bed) {
 			b.ended = []hsmessage.EndedTask{{Number: 1, Run: run(0), How: hswork.EndDone}}
 			b.answer()
--- a/core/hsmessage/work.go
+++ b/core/hsmessage/work.go
@@ -128,9 +128,11 @@
 	Reason string
 }
 
-// PlannedRun is a run that should be at work. Spec is set until the endpoint was seen to have it.
+// PlannedRun is a run that should be at work.
 type PlannedRun struct {
-	Run        hswork.RunID
+	Run hswork.RunID
+	// Known is set once the endpoint was seen to have the run; Spec is left out then.
+	Known      bool
 	Spec       string
 	Checkpoint hswork.Checkpoint
 	Ticket     hswork.Ticket
