--- a/core/command/hsrunner/runner.go
+++ b/core/command/hsrunner/runner.go
@@ -120,14 +120,6 @@
 	return len(r.current.running)
 }
 
-// Known reports whether an endpoint has announced itself, and which.
-func (r *Runner) Known() (hswork.EndpointID, bool) {
-	if r.current == nil {
-		return "", false
-	}
-	return r.current.endpoint.ID, true
-}
-
 // Learn replaces the control replicas that are known.
 func (r *Runner) Learn(controls []hsstate.Peer) { r.holder.Learn(controls) }
 
