hsflow, hsdispatch: a run that was given up counts as done once its endpoint tells so

An agent was cut off while its tasks ended; the leader gave the runs up with the lease and started them again. When the agent came back its endpoint still listed them as done, which was noted and otherwise ignored, so the next step waited for work that had been done. Ruled out: an end lost on the way (the agent's log lists it before the lease ended). Now the late news counts, the successor is stopped, and the end is noted only after that is committed. TestApply and TestDoneAfterAll fail without the change.

--- a/core/command/hsdispatch/loss_test.go
+++ b/core/command/hsdispatch/loss_test.go
@@ -90,6 +90,31 @@
 	}
 }
 
+// TestDoneAfterAll checks that a run that was given up with its silent worker counts as done once the worker tells
+// so, and that its successor is stopped. The pattern is an agent that is cut off while its tasks end.
+func TestDoneAfterAll(t *testing.T) {
+	b := newBed(t)
+	b.worker("a", "r1-1")
+	job := b.submit(1, 1, "w2", step(1, 1000, 8), with(step(1, 1000, 8), func(s *hswork.Step) { s.After = []int{0} }))
+	b.begin("a")
+	b.worker("b", "r1-1")
+	cut := b.tallies["a"]
+	delete(b.tallies, "a")
+	b.settle(lease + lease/10)
+	b.want("given up", b.places(job), []string{"b/2"})
+	b.begin("b")
+
+	b.tallies["a"] = cut
+	b.end("a", hswork.RunID{Task: task(job, 0), Number: 1}, hswork.EndDone, "")
+	b.report("a")
+	b.want("noted before the commit", b.plans["a"].Noted, 0)
+	b.commit()
+	b.want("noted after it", b.plans["a"].Noted, 1)
+	b.want("done", b.state.Jobs[job].Rounds[0].Steps[0][0].Done, true)
+	b.want("stops of the successor", len(b.plans["b"].Stops), 1)
+	b.want("next step", b.places(job), []string{"a/1", "b/2"})
+}
+
 // TestNoted checks that an end may be forgotten only when it is committed with all before it.
 func TestNoted(t *testing.T) {
 	b := newBed(t)
--- a/core/command/hsdispatch/worker.go
+++ b/core/command/hsdispatch/worker.go
@@ -141,18 +141,21 @@
 	return p
 }
 
-// wanted reports whether a listed end has something to tell: that of a placed run, or a failure that isn't
-// counted yet.
+// wanted reports whether a listed end has something to tell: that of a placed run, or, of one that was given up,
+// that it was done after all or a failure that isn't counted yet.
 func (d *Dispatcher) wanted(w *worker, e hsmessage.EndedTask) bool {
 	if d.placeOn(w, e.Run) != nil {
 		return true
 	}
 	j := d.state.Jobs[e.Run.Task.Work]
-	if j == nil || e.How != hswork.EndFailed || j.Phase != hswork.Open {
+	if j == nil || j.Phase != hswork.Open {
 		return false
 	}
 	t := j.Task(e.Run.Task)
-	return t != nil && !j.Steps[e.Run.Task.Step].Lasts && !t.Done && e.Run.Number <= t.Run && !slices.Contains(t.Failed, e.Run.Number)
+	if t == nil || j.Steps[e.Run.Task.Step].Lasts || t.Done || e.Run.Number > t.Run {
+		return false
+	}
+	return e.How == hswork.EndDone || e.How == hswork.EndFailed && !slices.Contains(t.Failed, e.Run.Number)
 }
 
 // note advances the newest end that is committed with all before it, and reports whether it moved.
--- a/core/command/hsflow/flow.go
+++ b/core/command/hsflow/flow.go
@@ -96,8 +96,8 @@
 	}
 }
 
-// end notes the end of a run. A failure counts also when the run was given up before; any other end of
-// such a run is without effect, since the task may have run again.
+// end notes the end of a run. That it was done, or failed, counts also when the run was given up before: the
+// endpoint couldn't be reached, and tells it later. Any other end of such a run is without effect.
 func end(s *hswork.State, e *hswork.End, clock time.Duration) {
 	j := s.Jobs[e.Run.Task.Work]
 	if j == nil {
@@ -129,7 +129,7 @@
 		each(func(t *hswork.Task) { t.Checkpoint = e.Checkpoint })
 	}
 	switch {
-	case e.How == hswork.EndDone && placed && !step.Lasts:
+	case e.How == hswork.EndDone && !t.Done && !step.Lasts:
 		each(func(t *hswork.Task) { t.Done = true })
 		if allDone(j) {
 			finish(s, j, hswork.Completed, clock)
--- a/core/command/hsflow/flow_test.go
+++ b/core/command/hsflow/flow_test.go
@@ -59,6 +59,10 @@
 		{"done by a run that was given up", 1, []*hswork.Command{
 			start(1, a), end(a, 1, hswork.EndLost), start(2, a), end(a, 1, hswork.EndDone),
 		}, hswork.Open, 1},
+		{"and the step after it goes on", 1, []*hswork.Command{
+			start(1, a), end(a, 1, hswork.EndLost), start(2, a), end(a, 1, hswork.EndDone), end(a, 2, hswork.EndStopped),
+			start(1, b), end(b, 1, hswork.EndDone), start(1, g, h), end(g, 1, hswork.EndDone),
+		}, hswork.Completed, 1},
 		{"failed once", 1, []*hswork.Command{start(1, a), end(a, 1, hswork.EndFailed)}, hswork.Open, 0},
 		{"one failure told twice", 1, []*hswork.Command{start(1, a), end(a, 1, hswork.EndFailed), end(a, 1, hswork.EndFailed)}, hswork.Open, 0},
 		{"failed as often as allowed", 1, []*hswork.Command{
