hsdispatch: what gives way is counted once for all that it makes room for

Now a task costs what gives way beyond what its predecessors need, and the budget counts the waiting tasks of the step that fit as well.

--- a/core/command/hsdispatch/bed_test.go
+++ b/core/command/hsdispatch/bed_test.go
@@ -153,6 +153,18 @@
 	}
 }
 
+// work lets time pass while everything that runs makes progress, one percent a second.
+func (b *bed) work(d time.Duration) {
+	for range int(d / time.Second) {
+		b.settle(time.Second)
+		for _, t := range b.tallies {
+			for i := range t.Running {
+				t.Running[i].Percent++
+			}
+		}
+	}
+}
+
 func id(n int) hswork.ID { return hswork.ID(fmt.Sprintf("%016x", n)) }
 
 // submit accepts a job of one step.
--- a/core/command/hsdispatch/claim.go
+++ b/core/command/hsdispatch/claim.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"hyssopseam/core/hsid"
 	"hyssopseam/core/hswork"
 )
 
@@ -103,47 +102,92 @@
 	if members == nil {
 		members = d.spreadOver(u, rooms, "", v.fit)
 	}
-	if members == nil || !u.covered && v.loss(members, rooms) > v.budget() {
+	if members == nil || !u.covered && v.loss(members, rooms) > v.budget(members, rooms) {
 		return false
 	}
-	v.each(members, rooms, func(runs []placedRun, _ float64) {
-		for _, p := range runs {
-			d.ports.Observer.Preempted(p.run, p.place.Worker, u.job.ID)
-			d.giveWay(p)
-		}
-	})
+	for _, p := range v.displaced(members, rooms) {
+		d.ports.Observer.Preempted(p.run, p.place.Worker, u.job.ID)
+		d.giveWay(p)
+	}
 	take(u, members, rooms)
 	d.claims[u.key()] = &claim{members: members, at: now}
 	return true
 }
 
-// each visits the members with what has to give way for each, and the cost of that.
-func (v *victims) each(members []hswork.Member, rooms []*room, visit func(runs []placedRun, cost float64)) {
-	free := map[hsid.InstanceID]hswork.Resources{}
-	for _, m := range members {
-		r := roomOf(rooms, m.Worker)
-		left, ok := free[m.Worker]
-		if !ok {
-			left = r.free
-		}
-		runs, cost, _ := v.choose(r, left)
-		visit(runs, cost)
-		free[m.Worker] = left.Minus(need(v.u.step))
-	}
+// displaced returns the runs that have to give way to the members.
+func (v *victims) displaced(members []hswork.Member, rooms []*room) []placedRun {
+	var runs []placedRun
+	v.eachRoom(members, rooms, func(r *room, left hswork.Resources) {
+		chosen, _, _ := v.choose(r, left)
+		runs = append(runs, chosen...)
+	})
+	return runs
 }
 
-// loss returns the cost of what gives way for the members. What was chosen for one member counts again for
-// the next one on the same worker, which errs on the side of keeping work.
+// loss returns the cost of what gives way to the members.
 func (v *victims) loss(members []hswork.Member, rooms []*room) float64 {
 	total := 0.0
-	v.each(members, rooms, func(_ []placedRun, cost float64) { total += cost })
+	v.eachRoom(members, rooms, func(r *room, left hswork.Resources) {
+		_, cost, _ := v.choose(r, left)
+		total += cost
+	})
 	return total
 }
 
-// budget returns the work, in core-seconds, that may be thrown away for the unit.
-func (v *victims) budget() float64 {
-	own := coresOf(v.u.step) * v.d.expectStep(v.u.job, v.u.step).Seconds() * float64(len(v.u.tasks))
-	return own * lossShare / 100
+// eachRoom visits the workers of the members, in order, with what is left there once all of them are placed;
+// parts of it are below zero where others have to give way.
+func (v *victims) eachRoom(members []hswork.Member, rooms []*room, visit func(r *room, left hswork.Resources)) {
+	for _, r := range rooms {
+		left := r.free
+		for _, m := range members {
+			if m.Worker == r.worker.id {
+				left = left.Minus(need(v.u.step))
+			}
+		}
+		if left != r.free {
+			visit(r, left)
+		}
+	}
+}
+
+// budget returns the work, in core-seconds, that may be thrown away for the members: that of their own, and of
+// the tasks of the same step that wait and fit into the room that is made with them.
+func (v *victims) budget(members []hswork.Member, rooms []*room) float64 {
+	own := coresOf(v.u.step) * v.d.expectStep(v.u.job, v.u.step).Seconds()
+	served := len(members)
+	if !v.u.step.Gang {
+		served = min(served+v.spare(members, rooms), v.waiting())
+	}
+	return own * float64(served) * lossShare / 100
+}
+
+// spare returns how many more tasks of the step fit where others give way to the members.
+func (v *victims) spare(members []hswork.Member, rooms []*room) int {
+	n := need(v.u.step)
+	more := 0
+	v.eachRoom(members, rooms, func(r *room, left hswork.Resources) {
+		chosen, _, _ := v.choose(r, left)
+		for _, p := range chosen {
+			left = left.Plus(need(p.step))
+		}
+		for limit := v.u.step.Count; left.Holds(n) && limit > 0; limit-- {
+			left = left.Minus(n)
+			more++
+		}
+	})
+	return more
+}
+
+// waiting returns how many tasks of the unit's step and occurrence aren't placed and not done.
+func (v *victims) waiting() int {
+	first := v.u.tasks[0]
+	count := 0
+	for _, t := range v.u.job.Rounds[first.Occurrence].Steps[first.Step] {
+		if !t.Done && len(t.Places) == 0 {
+			count++
+		}
+	}
+	return count
 }
 
 // coresOf returns what a task takes, in cores, with accelerators counted as cores.
@@ -155,16 +199,21 @@
 	return float64(r.Cores)/1000 + acceleratorCores*float64(r.Accelerators)
 }
 
-// fit reports whether a task fits once others give way, and what that costs.
+// fit reports whether a task fits once others give way, and what that costs beyond what gives way to the
+// members placed there before it.
 func (v *victims) fit(_ *unit, r *room, left hswork.Resources) (float64, bool) {
-	_, cost, ok := v.choose(r, left)
-	return cost, ok
+	_, after, ok := v.choose(r, left.Minus(need(v.u.step)))
+	if !ok {
+		return 0, false
+	}
+	_, before, _ := v.choose(r, left)
+	return after - before, true
 }
 
-// choose returns the runs that have to give way on a worker so that a task of the unit fits. What is being
-// stopped already counts as free.
+// choose returns the runs that have to give way on a worker so that what is left there isn't below zero, and
+// what that costs. What is being stopped already counts as free.
 func (v *victims) choose(r *room, left hswork.Resources) ([]placedRun, float64, bool) {
-	n := need(v.u.step)
+	var none hswork.Resources
 	var runs []placedRun
 	for _, p := range v.d.placedOn(r.worker.id) {
 		if v.d.stopping[p.run] || v.d.ending[p.run] || p.job.Phase != hswork.Open {
@@ -177,25 +226,25 @@
 	}
 	slices.SortStableFunc(runs, func(a, b placedRun) int { return cmp.Compare(v.cost(a), v.cost(b)) })
 	var chosen []placedRun
-	total := 0.0
 	for _, p := range runs {
-		if left.Holds(n) {
+		if left.Holds(none) {
 			break
 		}
 		left = left.Plus(need(p.step))
 		chosen = append(chosen, p)
 	}
-	if !left.Holds(n) {
+	if !left.Holds(none) {
 		return nil, 0, false
 	}
 	chosen = slices.DeleteFunc(chosen, func(p placedRun) bool {
 		rest := left.Minus(need(p.step))
-		if !rest.Holds(n) {
+		if !rest.Holds(none) {
 			return false
 		}
 		left = rest
 		return true
 	})
+	total := 0.0
 	for _, p := range chosen {
 		total += v.cost(p)
 	}
