hsdispatch: gangs have others give way on one rack before they spread; estimates outlive the leader

A run's own pace counts now, or half of what it has taken so far; urgent jobs don't wait for others to end. - declared times are off by factors, and what was learned of a queue was lost with the leader. It is kept in the replicated state (hswork.Experience) and weighed against the declared time by how far off each was.

--- a/core/command/hsdispatch/claim.go
+++ b/core/command/hsdispatch/claim.go
@@ -17,11 +17,7 @@
 	acceleratorCores = 8
 	// preemptAfter is how long a unit below priority 0 waits before others give way to it.
 	preemptAfter = time.Second
-	// shortWait is what a unit of priority 0 rather waits at once, and longestWait in all; with the time for a
-	// stop that is well within the time in which a guarantee has to be met.
-	shortWait   = 600 * time.Millisecond
-	longestWait = 1200 * time.Millisecond
-	// maxWait is what other units rather wait.
+	// maxWait is what units below priority 0 rather wait than have others give way.
 	maxWait = 5 * time.Second
 	// lossShare bounds the work that is thrown away for a unit that isn't covered, in percent of its own.
 	lossShare = 100
@@ -85,21 +81,19 @@
 }
 
 // waits returns how long a unit rather waits for room than has others give way.
-func (d *Dispatcher) waits(u *unit, now time.Time) time.Duration {
+func (d *Dispatcher) waits(u *unit) time.Duration {
 	if u.covered || u.job.Priority == 0 {
-		return max(min(shortWait, longestWait-now.Sub(u.since), u.slack-d.config.StopTimeout), 0)
+		return 0
 	}
 	return max(min(u.slack, maxWait), 0)
 }
 
-// claimFor has runs give way, those that lose the least work first, and reports whether that makes room.
-func (d *Dispatcher) claimFor(u *unit, rooms []*room, now time.Time) bool {
+// claimFor has runs give way, those that lose the least work first, and reports whether that makes room; with far
+// also where the unit runs slower.
+func (d *Dispatcher) claimFor(u *unit, rooms []*room, far bool, now time.Time) bool {
 	v := &victims{d: d, u: u}
-	var members []hswork.Member
-	if racks := d.nearRacks(u, rooms); racks != nil {
-		members = d.bestOf(u, rooms, racks, v.fit)
-	}
-	if members == nil {
+	members := d.near(u, rooms, v.fit)
+	if members == nil && far {
 		members = d.spreadOver(u, rooms, "", v.fit)
 	}
 	if members == nil || !u.covered && v.loss(members, rooms) > v.budget(members, rooms) {
--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -15,6 +15,8 @@
 	// DefaultLease is the longest that endpoints hold runs without a renewal.
 	DefaultLease       = 8 * time.Second
 	DefaultStopTimeout = 400 * time.Millisecond
+	// DefaultFarFactor is how many times as long tasks take away from their rack.
+	DefaultFarFactor = 3.0
 
 	// passInterval is the time between two passes while nothing happens; due times and patience end in it.
 	passInterval = 100 * time.Millisecond
@@ -33,6 +35,8 @@
 	Lease time.Duration
 	// StopTimeout is how long an endpoint takes to stop a run at most.
 	StopTimeout time.Duration
+	// FarFactor is how many times as long tasks take away from their rack, or on several ones.
+	FarFactor float64
 }
 
 // WithDefaults returns the configuration with each zero value replaced by its default.
@@ -43,6 +47,9 @@
 	if c.StopTimeout == 0 {
 		c.StopTimeout = DefaultStopTimeout
 	}
+	if c.FarFactor == 0 {
+		c.FarFactor = DefaultFarFactor
+	}
 	return c
 }
 
@@ -114,8 +121,7 @@
 	// coveredJobs are the open jobs that guarantees cover, as of the newest pass.
 	coveredJobs map[hswork.ID]bool
 	// cores is what all usable workers have, with accelerators counted as cores.
-	cores       float64
-	experiences map[hswork.QueueName]*experience
+	cores float64
 
 	permits  map[StepID]*permits
 	restarts map[hswork.TaskID]restart
@@ -148,7 +154,6 @@
 		permits:     map[StepID]*permits{},
 		restarts:    map[hswork.TaskID]restart{},
 		vacant:      map[hswork.EndpointID]time.Time{},
-		experiences: map[hswork.QueueName]*experience{},
 		passDue:     true,
 	}
 }
@@ -179,9 +184,6 @@
 func (d *Dispatcher) appliedEnds(c *hswork.Ends) {
 	for i := range c.Ends {
 		run := c.Ends[i].Run
-		if c.Ends[i].How == hswork.EndDone {
-			d.learn(run, d.ports.Clock.Now())
-		}
 		d.endedLasting(run, d.ports.Clock.Now())
 		delete(d.ending, run)
 		delete(d.stopping, run)
--- a/core/command/hsdispatch/pass.go
+++ b/core/command/hsdispatch/pass.go
@@ -24,14 +24,21 @@
 		if full[same] && !u.covered {
 			continue
 		}
-		if members := d.place(u, rooms, now); members != nil {
+		if members := d.place(u, rooms); members != nil {
 			d.start(u, members, now)
 			continue
 		}
+		soonest, at := d.soonest(u, rooms, now)
+		far := d.maySpread(u, at, now)
+		if far {
+			if members := d.spreadOver(u, rooms, "", fits); members != nil {
+				d.start(u, take(u, members, rooms), now)
+				continue
+			}
+		}
 		d.ask(u, rooms, now)
 		full[same] = full[same] || !d.needsPermit(u.job)
-		soonest, at := d.soonest(u, rooms, now)
-		if at > d.waits(u, now) && d.mayPreempt(u, now) && d.claimFor(u, rooms, now) {
+		if at > d.waits(u) && d.mayPreempt(u, now) && d.claimFor(u, rooms, far, now) {
 			continue
 		}
 		d.reserve(soonest, at, rooms)
--- a/core/command/hsdispatch/place.go
+++ b/core/command/hsdispatch/place.go
@@ -15,29 +15,37 @@
 	weightBreak = 0.3
 )
 
-// place finds room for a unit and takes it from the rooms, or returns nil. Units that are slow away from
-// their rack wait for it for as long as one of their tasks is declared to run.
-func (d *Dispatcher) place(u *unit, rooms []*room, now time.Time) []hswork.Member {
-	if racks := d.nearRacks(u, rooms); racks != nil {
-		if members := d.bestOf(u, rooms, racks, fits); members != nil {
-			return take(u, members, rooms)
-		}
-		if now.Sub(u.since) < d.patience(u) {
-			return nil
-		}
+// coveredPatience is how long a covered unit waits for room on its rack; with the time for a stop that is well
+// within the time in which a guarantee has to be met.
+const coveredPatience = 1200 * time.Millisecond
+
+// place finds room for a unit where it runs at full speed and takes it from the rooms, or returns nil.
+func (d *Dispatcher) place(u *unit, rooms []*room) []hswork.Member {
+	members := d.near(u, rooms, fits)
+	if members == nil {
+		return nil
 	}
-	if members := d.spreadOver(u, rooms, "", fits); members != nil {
-		return take(u, members, rooms)
+	return take(u, members, rooms)
+}
+
+// near places a unit where it runs at full speed, or returns nil.
+func (d *Dispatcher) near(u *unit, rooms []*room, fit fitting) []hswork.Member {
+	if racks := d.nearRacks(u, rooms); racks != nil {
+		return d.bestOf(u, rooms, racks, fit)
 	}
-	return nil
+	return d.spreadOver(u, rooms, "", fit)
 }
 
-// patience is how long a unit waits for its rack.
-func (d *Dispatcher) patience(u *unit) time.Duration {
-	if u.covered {
-		return 0
+// maySpread reports whether a unit that found no room on its rack rather runs away from it: to wait until there
+// is room takes longer than that slows it down, or a guarantee doesn't let it wait longer.
+func (d *Dispatcher) maySpread(u *unit, soonest time.Duration, now time.Time) bool {
+	if !u.step.SameRack && u.step.DataRack == "" {
+		return false
+	}
+	if u.covered && now.Sub(u.since) > coveredPatience {
+		return true
 	}
-	return max(u.step.Estimate, time.Second)
+	return soonest > time.Duration(float64(d.expectStep(u.job, u.step))*(d.config.FarFactor-1))
 }
 
 // nearRacks returns the racks on which a unit runs at full speed, or nil when it does so everywhere or
--- a/core/command/hsdispatch/stall.go
+++ b/core/command/hsdispatch/stall.go
@@ -27,13 +27,21 @@
 	percent hswork.Percent
 	// at is when it was first seen.
 	at time.Time
+	// from is the progress at since, when the run was first seen at work.
+	from  hswork.Percent
+	since time.Time
 }
 
 // watch notes the progress that a tally tells.
 func (d *Dispatcher) watch(t *hsmessage.Tally, now time.Time) {
 	for _, r := range t.Running {
-		if p, ok := d.progress[r.Run]; !ok || p.percent != r.Percent {
-			d.progress[r.Run] = progress{percent: r.Percent, at: now}
+		p, ok := d.progress[r.Run]
+		if !ok {
+			p.from, p.since = r.Percent, now
+		}
+		if !ok || p.percent != r.Percent {
+			p.percent, p.at = r.Percent, now
+			d.progress[r.Run] = p
 		}
 	}
 }
--- a/core/command/hsdispatch/worker.go
+++ b/core/command/hsdispatch/worker.go
@@ -96,7 +96,7 @@
 	for _, e := range t.Ended {
 		if d.wanted(w, e) {
 			w.health.ended(e.How, w.heard)
-			add(hswork.End{Run: e.Run, How: e.How, Checkpoint: e.Checkpoint})
+			add(hswork.End{Run: e.Run, How: e.How, Checkpoint: e.Checkpoint, Took: d.took(e, w.heard)})
 		}
 	}
 	for _, run := range t.Never {
--- a/core/command/hsflow/flow.go
+++ b/core/command/hsflow/flow.go
@@ -10,6 +10,7 @@
 package hsflow
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -32,6 +33,7 @@
 	case c.Catalog != nil:
 		if c.Catalog.Version > s.Catalog.Version {
 			s.Catalog = *c.Catalog
+			forgetExperiences(s)
 		}
 	case c.Submit != nil:
 		submit(s, c.Submit, index, clock)
@@ -130,6 +132,7 @@
 	}
 	switch {
 	case e.How == hswork.EndDone && !t.Done && !step.Lasts:
+		learn(s, j, e)
 		each(func(t *hswork.Task) { t.Done = true })
 		if allDone(j) {
 			finish(s, j, hswork.Completed, clock)
@@ -146,6 +149,26 @@
 	}
 }
 
+// learn notes how long a run took. Later runs may have gone on from a checkpoint, and tell nothing.
+func learn(s *hswork.State, j *hswork.Job, e *hswork.End) {
+	if e.Took <= 0 || e.Run.Number > 1 {
+		return
+	}
+	if s.Experiences[j.Queue] == nil {
+		s.Experiences[j.Queue] = &hswork.Experience{}
+	}
+	s.Experiences[j.Queue].Observe(e.Took, j.Steps[e.Run.Task.Step].Estimate)
+}
+
+// forgetExperiences drops what was seen of queues that don't exist any more.
+func forgetExperiences(s *hswork.State) {
+	exists := map[hswork.QueueName]bool{}
+	for i := range s.Catalog.Queues {
+		exists[s.Catalog.Queues[i].Name] = true
+	}
+	maps.DeleteFunc(s.Experiences, func(name hswork.QueueName, _ *hswork.Experience) bool { return !exists[name] })
+}
+
 func allDone(j *hswork.Job) bool {
 	if len(j.Rounds) < j.Occurrences() {
 		return false
--- a/core/command/hsflow/flow_test.go
+++ b/core/command/hsflow/flow_test.go
@@ -119,3 +119,40 @@
 		t.Errorf("got the job kept, want it forgotten")
 	}
 }
+
+// TestExperience checks what is learned of a queue, and that it goes with the queue.
+func TestExperience(t *testing.T) {
+	took := func(n hswork.RunNumber, d time.Duration) *hswork.Command {
+		c := end(at(0, 0), n, hswork.EndDone)
+		c.End.Ends[0].Took = d
+		return c
+	}
+	tables := []struct {
+		name     string
+		commands []*hswork.Command
+		want     int
+	}{
+		{"a run that is done", []*hswork.Command{start(1, at(0, 0)), took(1, time.Second)}, 1},
+		{"one whose begin wasn't seen", []*hswork.Command{start(1, at(0, 0)), took(1, 0)}, 0},
+		{"one that may have gone on from a checkpoint", []*hswork.Command{
+			start(1, at(0, 0)), end(at(0, 0), 1, hswork.EndStopped), start(2, at(0, 0)), took(2, time.Second),
+		}, 0},
+		{"one told twice", []*hswork.Command{start(1, at(0, 0)), took(1, time.Second), took(1, time.Second)}, 1},
+		{"a queue that is gone", []*hswork.Command{
+			start(1, at(0, 0)), took(1, time.Second), {Catalog: &hswork.Catalog{Version: 2}},
+		}, 0},
+	}
+	for _, tt := range tables {
+		s, apply := world(1)
+		for _, c := range tt.commands {
+			apply(c)
+		}
+		got := 0
+		if e := s.Experiences[""]; e != nil {
+			got = e.Samples
+		}
+		if got != tt.want {
+			t.Errorf("%s: got %d observations, want %d", tt.name, got, tt.want)
+		}
+	}
+}
--- a/core/hswork/state.go
+++ b/core/hswork/state.go
@@ -16,10 +16,12 @@
 	Ended []ID
 	// Waves are the waves of upkeep, oldest first.
 	Waves []Wave
+	// Experiences hold what was seen of the runs of each queue in the catalog.
+	Experiences map[QueueName]*Experience
 }
 
 // NewState returns an empty state.
-func NewState() *State { return &State{Jobs: map[ID]*Job{}} }
+func NewState() *State { return &State{Jobs: map[ID]*Job{}, Experiences: map[QueueName]*Experience{}} }
 
 // OpenJobs returns the open jobs in the order in which they were accepted.
 func (s *State) OpenJobs() []*Job {
@@ -91,6 +93,8 @@
 	Run        RunID
 	How        How
 	Checkpoint Checkpoint
+	// Took is how long a run that is done was at work; 0 where that wasn't seen.
+	Took time.Duration
 }
 
 // Ends is a batch of ends.
--- a/io/hsapp/role.go
+++ b/io/hsapp/role.go
@@ -194,7 +194,7 @@
 		CoolDown:   time.Duration(c.CoolDown),
 		Replicas:   c.Replicas,
 		Upkeep:     hsupkeep.Config{Holder: s.Instance, Lease: time.Duration(s.Work.HolderLease), Upkeep: time.Duration(s.Work.Upkeep)},
-		Work:       hsdispatch.Config{Lease: s.Work.Lease(), StopTimeout: time.Duration(s.Work.Stop)},
+		Work:       hsdispatch.Config{Lease: s.Work.Lease(), StopTimeout: time.Duration(s.Work.Stop), FarFactor: s.Work.FarFactor},
 
 		FoundBefore:  time.Duration(c.FoundBefore),
 		ReplaceAfter: time.Duration(c.ReplaceAfter),
--- a/io/hscodec/codec.go
+++ b/io/hscodec/codec.go
@@ -192,5 +192,8 @@
 	if s.Work.Jobs == nil {
 		s.Work.Jobs = maps.Work.Jobs
 	}
+	if s.Work.Experiences == nil {
+		s.Work.Experiences = maps.Work.Experiences
+	}
 	return s, nil
 }
--- a/io/hssettings/check.go
+++ b/io/hssettings/check.go
@@ -191,6 +191,9 @@
 	if n := s.Control.Tolerate; n < 0 || 2*n+1 > maxReplicas {
 		c.fault("control.tolerate", "%d losses aren't from 0 to %d", n, (maxReplicas-1)/2)
 	}
+	if f := s.Work.FarFactor; f != 0 && f < 1 {
+		c.fault("work.farFactor", "%g is below 1", f)
+	}
 	if n := s.MemoryMB; n < 0 {
 		c.fault("memoryMb", "%d is below zero", n)
 	}
--- a/io/hssettings/settings.go
+++ b/io/hssettings/settings.go
@@ -113,6 +113,8 @@
 	Hold Duration `toml:"hold"`
 	// Stop is how long an endpoint takes to stop a run at most.
 	Stop Duration `toml:"stop"`
+	// FarFactor is how many times as long tasks take away from their rack; 0 for the default.
+	FarFactor float64 `toml:"farFactor"`
 	// Interval is the time between two tallies of a runner.
 	Interval Duration `toml:"interval"`
 	// HolderLease is how long a holder of orders about machines counts as such, and Upkeep how long one is down.
