--- a/cmd/hyssopseam-node/main.go
+++ b/cmd/hyssopseam-node/main.go
@@ -65,6 +65,12 @@
 }
 
 func run(s *hssettings.Settings, config string) error {
+	// First of all: a signal that comes before its handler ends the process.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * memoryShare / 100)
 	}
@@ -82,9 +88,7 @@
 		return err
 	}
 	gateway := hsgateway.New(s.Gateway, app.Process(), hslog.Part(logger, "gateway"))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	go reload(ctx, config, app.Process(), hslog.Part(logger, "node"))
+	go reload(ctx, hup, config, app.Process(), hslog.Part(logger, "node"))
 	if err := app.Start(); err != nil {
 		return err
 	}
@@ -129,10 +133,7 @@
 
 // reload reads the settings again on SIGHUP and when the file has changed. The control replicas that they name
 // are put in force; the rest is, at the next start.
-func reload(ctx context.Context, config string, p *hsprocess.Process, log *slog.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func reload(ctx context.Context, hup <-chan os.Signal, config string, p *hsprocess.Process, log *slog.Logger) {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	seen := modified(config)
