--- a/cmd/hyssopseam/main.go
+++ b/cmd/hyssopseam/main.go
@@ -5,6 +5,7 @@
 //	hyssopseam rules check|push|show|history [FILE]
 //	hyssopseam job submit|get|answer|cancel|list
 //	hyssopseam status | workers | dump | explain JOB
+//	hyssopseam trace ID LOG...
 //	hyssopseam members list|add|remove|replace
 //	hyssopseam demo [--stay]
 //
@@ -104,6 +105,7 @@
 			t.explainCommand(),
 			t.viewCommand("workers", "the workers", "/v1/workers", t.printWorkers),
 			t.viewCommand("dump", "the state of the process that answers", "/dump", nil),
+			t.traceCommand(),
 			t.membersCommand(),
 			t.demoCommand(),
 		},
--- /dev/null
+++ b/io/query/hstrace/trace.go
@@ -0,0 +1,123 @@
+package hstrace
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// around is how long before the first and after the last line about an identifier other events are shown.
+const around = 5 * time.Second
+
+// context are the messages that may explain what became of a job, whatever job it is.
+var context = []string{
+	"leader changed", "leadership changed", "contact with the leader changed", "members changed",
+	"process started", "process is stopping", "process stopped",
+}
+
+// ofWorker are the messages that explain what became of the runs of a worker.
+var ofWorker = []string{"worker changed", "endpoint announced", "endpoint is over"}
+
+// About returns the lines about a job or request, by time, with what happened meanwhile to the workers that ran it,
+// and to leaders and processes. It returns nothing when no line names the identifier.
+func About(id string, lines []Line) []Line {
+	lines = slices.Clone(lines)
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	workers := map[string]bool{}
+	var first, last time.Time
+	for i := range lines {
+		if !names(&lines[i], id) {
+			continue
+		}
+		if w := lines[i].Get("worker"); w != "" {
+			workers[w] = true
+		}
+		if first.IsZero() {
+			first = lines[i].Time
+		}
+		last = lines[i].Time
+	}
+	if first.IsZero() {
+		return nil
+	}
+	return slices.DeleteFunc(lines, func(l Line) bool {
+		if names(&l, id) {
+			return false
+		}
+		if l.Time.Before(first.Add(-around)) || l.Time.After(last.Add(around)) {
+			return true
+		}
+		worker := cmp.Or(l.Get("worker"), l.Source)
+		return !says(&l, context) && !(workers[worker] && says(&l, ofWorker))
+	})
+}
+
+// names reports whether a line names an identifier: as a whole value, as the last part of a path, or as the job of a
+// run.
+func names(l *Line, id string) bool {
+	return slices.ContainsFunc(l.Fields, func(f Field) bool {
+		return f.Value == id || strings.HasSuffix(f.Value, "/"+id) || strings.HasPrefix(f.Value, id+".")
+	})
+}
+
+// says reports whether a line's message is one of several, whatever part of the process wrote it.
+func says(l *Line, messages []string) bool {
+	_, text, _ := strings.Cut(l.Message, ": ")
+	return slices.Contains(messages, text)
+}
+
+// Summary is what the lines about a job come to.
+type Summary struct {
+	// Decisions are the verdicts on requests, by action, in order.
+	Decisions []string
+	// Starts counts the tasks that were placed, and Waited is the longest wait for room.
+	Starts int
+	Waited time.Duration
+	// Ends counts the runs by how they ended.
+	Ends map[string]int
+	// GaveWay and Stalled count the runs that were stopped for others, or since they made no progress.
+	GaveWay int
+	Stalled int
+}
+
+// Summarize adds up the lines that name an identifier.
+func Summarize(id string, lines []Line) Summary {
+	s := Summary{Ends: map[string]int{}}
+	for i := range lines {
+		l := &lines[i]
+		if !names(l, id) {
+			continue
+		}
+		switch _, text, _ := strings.Cut(l.Message, ": "); text {
+		case "request decided":
+			s.Decisions = append(s.Decisions, fmt.Sprintf("%s %s", l.Get("action"), l.Get("verdict")))
+		case "task placed":
+			s.Starts++
+			if waited, err := time.ParseDuration(l.Get("waited")); err == nil {
+				s.Waited = max(s.Waited, waited)
+			}
+		case "run ended":
+			s.Ends[l.Get("how")]++
+		case "run gives way":
+			if strings.HasPrefix(l.Get("run"), id+".") {
+				s.GaveWay++
+			}
+		case "run makes no progress":
+			s.Stalled++
+		}
+	}
+	return s
+}
+
+// String returns the summary in one line.
+func (s Summary) String() string {
+	var ends []string
+	for how, n := range s.Ends {
+		ends = append(ends, fmt.Sprintf("%d %s", n, how))
+	}
+	slices.Sort(ends)
+	return fmt.Sprintf("decided: %s; %d starts, longest wait %s; ends: %s; %d gave way, %d stalled",
+		strings.Join(s.Decisions, ", "), s.Starts, s.Waited, strings.Join(ends, ", "), s.GaveWay, s.Stalled)
+}
