hsdispatch: what may give way on a worker is found once a unit; TestDue for repeated jobs

Cause: with the marginal costs each task of a unit listed and sorted the runs of every worker twice. Repeated jobs with due times had no test of their own.

--- a/core/command/hsdispatch/claim.go
+++ b/core/command/hsdispatch/claim.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"hyssopseam/core/hsid"
 	"hyssopseam/core/hswork"
 )
 
@@ -64,6 +65,44 @@
 type victims struct {
 	d *Dispatcher
 	u *unit
+	// workers holds what was found out about each worker.
+	workers map[hsid.InstanceID]*yielding
+}
+
+// yielding is what may give way on a worker.
+type yielding struct {
+	// ending is what will be free without anything more being stopped.
+	ending hswork.Resources
+	// runs may be stopped; the one that loses the least comes first.
+	runs []yieldingRun
+}
+
+type yieldingRun struct {
+	placedRun
+	cost float64
+}
+
+func (d *Dispatcher) victimsOf(u *unit) *victims {
+	return &victims{d: d, u: u, workers: map[hsid.InstanceID]*yielding{}}
+}
+
+// on returns what may give way on a worker.
+func (v *victims) on(id hsid.InstanceID) *yielding {
+	if y := v.workers[id]; y != nil {
+		return y
+	}
+	y := &yielding{}
+	v.workers[id] = y
+	for _, p := range v.d.placedOn(id) {
+		switch {
+		case v.d.stopping[p.run] || v.d.ending[p.run] || p.job.Phase != hswork.Open:
+			y.ending = y.ending.Plus(need(p.step))
+		case v.mayStop(p):
+			y.runs = append(y.runs, yieldingRun{placedRun: p, cost: v.cost(p)})
+		}
+	}
+	slices.SortStableFunc(y.runs, func(a, b yieldingRun) int { return cmp.Compare(a.cost, b.cost) })
+	return y
 }
 
 // mayPreempt reports whether others may have to give way to a unit: to what is covered or of priority 0 at
@@ -91,7 +130,7 @@
 // claimFor has runs give way, those that lose the least work first, and reports whether that makes room; with far
 // also where the unit runs slower.
 func (d *Dispatcher) claimFor(u *unit, rooms []*room, far bool, now time.Time) bool {
-	v := &victims{d: d, u: u}
+	v := d.victimsOf(u)
 	members := d.near(u, rooms, v.fit)
 	if members == nil && far {
 		members = d.spreadOver(u, rooms, "", v.fit)
@@ -101,7 +140,7 @@
 	}
 	for _, p := range v.displaced(members, rooms) {
 		d.ports.Observer.Preempted(p.run, p.place.Worker, u.job.ID)
-		d.giveWay(p)
+		d.giveWay(p.placedRun)
 	}
 	take(u, members, rooms)
 	d.claims[u.key()] = &claim{members: members, at: now}
@@ -109,8 +148,8 @@
 }
 
 // displaced returns the runs that have to give way to the members.
-func (v *victims) displaced(members []hswork.Member, rooms []*room) []placedRun {
-	var runs []placedRun
+func (v *victims) displaced(members []hswork.Member, rooms []*room) []yieldingRun {
+	var runs []yieldingRun
 	v.eachRoom(members, rooms, func(r *room, left hswork.Resources) {
 		chosen, _, _ := v.choose(r, left)
 		runs = append(runs, chosen...)
@@ -206,21 +245,12 @@
 
 // choose returns the runs that have to give way on a worker so that what is left there isn't below zero, and
 // what that costs. What is being stopped already counts as free.
-func (v *victims) choose(r *room, left hswork.Resources) ([]placedRun, float64, bool) {
+func (v *victims) choose(r *room, left hswork.Resources) ([]yieldingRun, float64, bool) {
 	var none hswork.Resources
-	var runs []placedRun
-	for _, p := range v.d.placedOn(r.worker.id) {
-		if v.d.stopping[p.run] || v.d.ending[p.run] || p.job.Phase != hswork.Open {
-			left = left.Plus(need(p.step))
-			continue
-		}
-		if v.mayStop(p) {
-			runs = append(runs, p)
-		}
-	}
-	slices.SortStableFunc(runs, func(a, b placedRun) int { return cmp.Compare(v.cost(a), v.cost(b)) })
-	var chosen []placedRun
-	for _, p := range runs {
+	y := v.on(r.worker.id)
+	left = left.Plus(y.ending)
+	var chosen []yieldingRun
+	for _, p := range y.runs {
 		if left.Holds(none) {
 			break
 		}
@@ -230,7 +260,7 @@
 	if !left.Holds(none) {
 		return nil, 0, false
 	}
-	chosen = slices.DeleteFunc(chosen, func(p placedRun) bool {
+	chosen = slices.DeleteFunc(chosen, func(p yieldingRun) bool {
 		rest := left.Minus(need(p.step))
 		if !rest.Holds(none) {
 			return false
@@ -240,7 +270,7 @@
 	})
 	total := 0.0
 	for _, p := range chosen {
-		total += v.cost(p)
+		total += p.cost
 	}
 	return chosen, total, true
 }
--- a/core/command/hsdispatch/place_test.go
+++ b/core/command/hsdispatch/place_test.go
@@ -1,6 +1,7 @@
 package hsdispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -83,3 +84,48 @@
 		b.want(tt.name+": only as many give way as needed", len(b.places(filler)), 8)
 	}
 }
+
+// TestDue checks when the occurrences of a repeated job start, and that a late one doesn't hold up the next.
+func TestDue(t *testing.T) {
+	const every = 2 * time.Second
+	tables := []struct {
+		name  string
+		delay time.Duration
+		times int
+		wait  time.Duration
+		// ends has what runs be done after the wait and lets a pass go by.
+		ends bool
+		want []string
+	}{
+		{"before its time", time.Second, 1, 800 * time.Millisecond, false, nil},
+		{"at its time", time.Second, 1, 1100 * time.Millisecond, false, []string{"0"}},
+		{"the second isn't due", time.Second, 2, 2900 * time.Millisecond, false, []string{"0"}},
+		{"the second beside the first", time.Second, 2, 3200 * time.Millisecond, false, []string{"0", "1"}},
+		{"no more than asked for", time.Second, 2, 9 * time.Second, false, []string{"0", "1"}},
+		{"the first is done and the second isn't due", time.Second, 2, 1500 * time.Millisecond, true, nil},
+		{"due long ago", -10 * time.Second, 3, 100 * time.Millisecond, false, []string{"0", "1", "2"}},
+	}
+	for _, tt := range tables {
+		b := newBed(t)
+		b.worker("a", "r1-1")
+		s := hswork.Submission{
+			ID: id(1), Spec: "spec", Steps: []hswork.Step{step(1, 1000, 1)},
+			Start: b.now.Add(tt.delay).UnixMilli(), Every: every, Times: tt.times,
+		}
+		b.apply(&hswork.Command{Submit: &hswork.Submit{Submission: s, Queue: "queue", Pool: "pool", Workspace: "w2", Attempts: 2, Stretch: 3}})
+		b.work(tt.wait)
+		b.settle(tt.wait % time.Second)
+		if tt.ends {
+			b.begin("a")
+			b.end("a", hswork.RunID{Task: task(id(1), 0), Number: 1}, hswork.EndDone, "")
+			b.report("a")
+			b.commit()
+		}
+		var got []string
+		b.state.Jobs[id(1)].EachPlace(func(t hswork.TaskID, _ *hswork.Task, _ hswork.Place) { got = append(got, fmt.Sprint(t.Occurrence)) })
+		b.want(tt.name, got, tt.want)
+		if phase := b.state.Jobs[id(1)].Phase; phase != hswork.Open {
+			t.Errorf("%s: got phase %s, want it open", tt.name, phase)
+		}
+	}
+}
