--- a/core/command/hsdispatch/claim.go
+++ b/core/command/hsdispatch/claim.go
@@ -82,10 +82,14 @@
 	if members == nil && far {
 		members = d.spreadOver(u, rooms, "", v.fit)
 	}
-	if members == nil || !u.covered && v.loss(members, rooms) > v.budget(members, rooms) {
+	if members == nil {
 		return false
 	}
-	for _, p := range v.displaced(members, rooms) {
+	s := v.sacrificeFor(members, rooms)
+	if !u.covered && s.loss > v.budget(len(members), s.spare) {
+		return false
+	}
+	for _, p := range s.runs {
 		d.ports.Observer.Preempted(p.run, p.place.Worker, u.job.ID)
 		d.giveWay(p.placedRun)
 	}
--- a/core/command/hsdispatch/victims.go
+++ b/core/command/hsdispatch/victims.go
@@ -62,70 +62,54 @@
 	return y
 }
 
-// displaced returns the runs that have to give way to the members.
-func (v *victims) displaced(members []hswork.Member, rooms []*room) []yieldingRun {
-	var runs []yieldingRun
-	v.eachRoom(members, rooms, func(r *room, left hswork.Resources) {
-		chosen, _, _ := v.choose(r, left)
-		runs = append(runs, chosen...)
-	})
-	return runs
-}
-
-// loss returns the cost of what gives way to the members.
-func (v *victims) loss(members []hswork.Member, rooms []*room) float64 {
-	total := 0.0
-	v.eachRoom(members, rooms, func(r *room, left hswork.Resources) {
-		_, cost, _ := v.choose(r, left)
-		total += cost
-	})
-	return total
+// sacrifice is what has to give way to the members of a claim.
+type sacrifice struct {
+	runs []yieldingRun
+	// loss is the cost of the runs.
+	loss float64
+	// spare is how many more tasks of the step fit into the room that is made.
+	spare int
 }
 
-// eachRoom visits the workers of the members, in order, with what is left there once all of them are placed;
-// parts of it are below zero where others have to give way.
-func (v *victims) eachRoom(members []hswork.Member, rooms []*room, visit func(r *room, left hswork.Resources)) {
+// sacrificeFor returns what has to give way to the members.
+func (v *victims) sacrificeFor(members []hswork.Member, rooms []*room) sacrifice {
+	var s sacrifice
+	n := need(v.u.step)
 	for _, r := range rooms {
 		left := r.free
 		for _, m := range members {
 			if m.Worker == r.worker.id {
-				left = left.Minus(need(v.u.step))
+				left = left.Minus(n)
 			}
 		}
-		if left != r.free {
-			visit(r, left)
+		if left == r.free {
+			continue
+		}
+		chosen, cost, _ := v.choose(r, left)
+		s.runs = append(s.runs, chosen...)
+		s.loss += cost
+		for _, p := range chosen {
+			left = left.Plus(need(p.step))
+		}
+		for limit := v.u.step.Count; left.Holds(n) && limit > 0; limit-- {
+			left = left.Minus(n)
+			s.spare++
 		}
 	}
+	return s
 }
 
-// budget returns the work, in core-seconds, that may be thrown away for the members: that of their own, and of
-// the tasks of the same step that wait and fit into the room that is made with them.
-func (v *victims) budget(members []hswork.Member, rooms []*room) float64 {
+// budget returns the work, in core-seconds, that may be thrown away for a number of members: that of their own, and
+// of the tasks of the same step that wait and fit into the room that is made with them.
+func (v *victims) budget(members, spare int) float64 {
 	own := coresOf(v.u.step) * v.d.expectStep(v.u.job, v.u.step).Seconds()
-	served := len(members)
+	served := members
 	if !v.u.step.Gang {
-		served = min(served+v.spare(members, rooms), v.waiting())
+		served = min(served+spare, v.waiting())
 	}
 	return own * float64(served) * lossShare / 100
 }
 
-// spare returns how many more tasks of the step fit where others give way to the members.
-func (v *victims) spare(members []hswork.Member, rooms []*room) int {
-	n := need(v.u.step)
-	more := 0
-	v.eachRoom(members, rooms, func(r *room, left hswork.Resources) {
-		chosen, _, _ := v.choose(r, left)
-		for _, p := range chosen {
-			left = left.Plus(need(p.step))
-		}
-		for limit := v.u.step.Count; left.Holds(n) && limit > 0; limit-- {
-			left = left.Minus(n)
-			more++
-		}
-	})
-	return more
-}
-
 // waiting returns how many tasks of the unit's step and occurrence aren't placed and not done.
 func (v *victims) waiting() int {
 	first := v.u.tasks[0]
