hsrunner, hsdispatch: a run that was given up can't begin under a later lease

The fencing token becomes a fence of term and epoch: giving up a run raises the epoch of its worker, a runner whose endpoint counted as terminated extends the lease only with a higher fence. Beside it: a restarted runner took its endpoint as terminated after 2.6 s of silence although the lease of the process before it lasts up to the longest hold; runs lost with their endpoint were recorded as never started, without their last checkpoint.

TestLateStart, TestRestartBesideSilentEndpoint, TestFenceAfterLoss and TestLostCheckpoint fail without the change. TestEndpointTerminated now runs for longer than a lease first: before that the lease of an earlier process counts too, which TestRestartBesideSilentEndpoint checks.

--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -250,14 +250,18 @@
 	d.sendPlans()
 }
 
-// proposeEnds proposes the ends of runs of a worker and records them as proposed. It does nothing if leadership was
-// lost.
+// proposeEnds proposes the ends of runs of a worker and records them as proposed. A run that is given up raises the
+// fence of the worker, so that a start that is still under way can't begin under a later lease. It does nothing if
+// leadership was lost.
 func (d *Dispatcher) proposeEnds(ends []hswork.End, worker hsid.InstanceID) {
 	if len(ends) == 0 || !d.ports.Log.ProposeWork(&hswork.Command{End: &hswork.EndRuns{Ends: ends}}) {
 		return
 	}
 	for i := range ends {
 		d.proposedEnds[ends[i].Run] = true
+		if w := d.workers[worker]; w != nil && ends[i].Kind == hswork.EndLost {
+			w.epoch++
+		}
 		d.ports.Observer.RunEnded(&ends[i], worker)
 	}
 }
@@ -295,7 +299,7 @@
 	}
 }
 
-// lostEnd returns the end of a run with unknown outcome, with its last reported checkpoint.
+// lostEnd returns the end of a run with unknown outcome, with the last checkpoint that was reported to this leader.
 func (d *Dispatcher) lostEnd(run hswork.RunID) hswork.End {
-	return hswork.End{Run: run, Kind: hswork.EndLost, Checkpoint: d.lastCheckpoint(run)}
+	return hswork.End{Run: run, Kind: hswork.EndLost, Checkpoint: d.progress[run].checkpoint}
 }
--- a/core/command/hsdispatch/loss_test.go
+++ b/core/command/hsdispatch/loss_test.go
@@ -169,3 +169,60 @@
 		}
 	}
 }
+
+// TestFenceAfterLoss checks when the fence that a plan carries rises. It must be above that of every start whose run was
+// given up, as the endpoint may carry out such a start late.
+func TestFenceAfterLoss(t *testing.T) {
+	tables := []struct {
+		name string
+		play func(h *harness, a *hsmessage.RunnerReport)
+		want hswork.Fence
+	}{
+		{"a run that goes on", func(h *harness, _ *hsmessage.RunnerReport) { h.report("a") }, hswork.NewFence(1, 0)},
+		{"a run that was given up with a silent worker", func(h *harness, a *hsmessage.RunnerReport) {
+			delete(h.reports, "a")
+			h.advance(lease + lease/10)
+			h.reports["a"] = a
+			h.report("a")
+		}, hswork.NewFence(1, 1)},
+		{"a run that was given up with its endpoint", func(h *harness, a *hsmessage.RunnerReport) {
+			a.EndpointTerminated = true
+			h.report("a")
+			h.commit()
+		}, hswork.NewFence(1, 1)},
+		{"a runner that asks for a higher fence", func(h *harness, a *hsmessage.RunnerReport) {
+			a.MinFence = hswork.NewFence(1, 9)
+			h.report("a")
+		}, hswork.NewFence(1, 9)},
+		{"a runner that asks for a fence of an earlier term", func(h *harness, a *hsmessage.RunnerReport) {
+			h.startLeadership(2)
+			a.MinFence = hswork.NewFence(1, 9)
+			h.report("a")
+		}, hswork.NewFence(2, 0)},
+	}
+	for _, tt := range tables {
+		h := newHarness(t)
+		a := h.addWorker("a", "r1-1")
+		h.submit(1, 1, "w2", step(1, 1000, 8))
+		h.applyPlan("a")
+		tt.play(h, a)
+		h.assertEqual(tt.name, h.plans["a"].Fence, tt.want)
+	}
+}
+
+// TestLostCheckpoint checks that a run that is lost with its endpoint continues from its last reported checkpoint, also
+// if the runner reports it as never started at the same time.
+func TestLostCheckpoint(t *testing.T) {
+	h := newHarness(t)
+	a := h.addWorker("a", "r1-1")
+	id := h.submit(1, 1, "w2", step(1, 1000, 8))
+	h.applyPlan("a")
+	a.Running[0].Checkpoint = "saved"
+	h.report("a")
+	a.NeverStarted = []hswork.RunID{a.Running[0].Run}
+	a.EndpointTerminated = true
+	a.Running = nil
+	h.report("a")
+	h.commit()
+	h.assertEqual("checkpoint", h.state.Jobs[id].Task(taskID(id, 0)).Checkpoint, "saved")
+}
--- a/core/command/hsdispatch/plan.go
+++ b/core/command/hsdispatch/plan.go
@@ -37,6 +37,7 @@
 		EndpointIncarnation: incarnation,
 		AckedEnd:            w.acked,
 		Controls:            d.controls,
+		Fence:               hswork.NewFence(d.term, w.epoch),
 	}
 	for _, r := range d.placedOn(w.id) {
 		switch {
--- a/core/command/hsdispatch/stall.go
+++ b/core/command/hsdispatch/stall.go
@@ -23,9 +23,10 @@
 	gangBarrierPercent = 95
 )
 
-// progress is the last reported progress of a run.
+// progress is the last reported progress of a run, and its last reported checkpoint.
 type progress struct {
-	percent hswork.Percent
+	percent    hswork.Percent
+	checkpoint hswork.Checkpoint
 	// changedAt is when percent was first reported.
 	changedAt time.Time
 	// firstPercent is the progress at firstSeen, when the run was first reported as running.
@@ -42,8 +43,9 @@
 		}
 		if !ok || p.percent != r.Percent {
 			p.percent, p.changedAt = r.Percent, now
-			d.progress[r.Run] = p
 		}
+		p.checkpoint = r.Checkpoint
+		d.progress[r.Run] = p
 	}
 }
 
--- a/core/command/hsdispatch/worker.go
+++ b/core/command/hsdispatch/worker.go
@@ -24,6 +24,8 @@
 	acked   hswork.EndNumber
 	planDue bool
 	health  health
+	// epoch is the part of the fence that rises when a run of the worker is given up.
+	epoch uint64
 }
 
 // placedRun is a run that isn't proved to have ended.
@@ -80,6 +82,7 @@
 	}
 	d.trackProgress(&report, w.lastHeard)
 	d.proposeReportedEnds(w)
+	w.epoch = max(w.epoch, report.MinFence.EpochIn(d.term))
 	d.advanceAck(w)
 }
 
@@ -104,6 +107,11 @@
 			add(hswork.End{Run: e.Run, Kind: e.Kind, Checkpoint: e.Checkpoint, Took: d.runTime(e, w.lastHeard)})
 		}
 	}
+	for _, p := range d.placedOn(w.id) {
+		if report.EndpointTerminated && p.assignment.EndpointIncarnation <= report.Endpoint.Incarnation {
+			add(d.lostEnd(p.run))
+		}
+	}
 	for _, run := range report.NeverStarted {
 		switch a := d.assignmentOn(w, run); {
 		case a == nil:
@@ -120,11 +128,6 @@
 			w.health.recordFailure(w.lastHeard)
 		}
 	}
-	for _, p := range d.placedOn(w.id) {
-		if report.EndpointTerminated && p.assignment.EndpointIncarnation <= report.Endpoint.Incarnation {
-			add(d.lostEnd(p.run))
-		}
-	}
 	d.proposeEnds(ends, w.id)
 }
 
@@ -211,15 +214,3 @@
 	slices.Sort(ids)
 	return ids
 }
-
-// lastCheckpoint returns the last reported checkpoint of a run, or none if no report lists it as running.
-func (d *Dispatcher) lastCheckpoint(run hswork.RunID) hswork.Checkpoint {
-	for _, w := range d.workers {
-		for _, r := range w.report.Running {
-			if r.Run == run {
-				return r.Checkpoint
-			}
-		}
-	}
-	return ""
-}
--- a/core/command/hsrunner/endpoint.go
+++ b/core/command/hsrunner/endpoint.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hswork"
 )
@@ -28,14 +27,14 @@
 	Ticket     hswork.Ticket
 	// Deadline is when the lease expires, and with it every run on the endpoint, unless it is extended.
 	Deadline ClockReading
-	Term     hsid.Term
+	Fence    hswork.Fence
 }
 
 // StopCall stops a run. If the run hasn't started yet, the endpoint rejects a later start of it.
 type StopCall struct {
 	Target Target
 	Run    hswork.RunID
-	Term   hsid.Term
+	Fence  hswork.Fence
 }
 
 // HoldCall extends the lease that all runs share and asks for the lists of running and ended runs.
@@ -49,8 +48,8 @@
 	// AckedEnd acknowledges ends: the endpoint may forget all up to this number.
 	AckedEnd hswork.EndNumber
 	// Wait is how long the endpoint may delay its answer until a run ends.
-	Wait time.Duration
-	Term hsid.Term
+	Wait  time.Duration
+	Fence hswork.Fence
 }
 
 // Endpoint sends calls to the endpoint without blocking. The result of each comes back through
@@ -67,7 +66,7 @@
 	Target Target
 	Run    hswork.RunID
 	Pace   hswork.Percent
-	Term   hsid.Term
+	Fence  hswork.Fence
 }
 
 // Verdict is the outcome of a call.
--- a/core/command/hsrunner/lifecycle.go
+++ b/core/command/hsrunner/lifecycle.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hswork"
 )
@@ -36,8 +35,14 @@
 	deadline ClockReading
 	// ackedEnd is the newest end that was acknowledged to the endpoint, which then forgets it.
 	ackedEnd hswork.EndNumber
-	// holdTerm is the newest term that a hold has carried.
-	holdTerm hsid.Term
+	// holdFence is the highest fence that a hold has carried.
+	holdFence hswork.Fence
+	// minFence is the lowest fence with which the lease may be extended. It is raised when the endpoint counts as
+	// terminated, as a start that is still under way could begin under a new lease otherwise.
+	minFence hswork.Fence
+	// inheritedLease is when a lease that an earlier process of this runner may have set has expired; zero for an
+	// incarnation that began while this process ran.
+	inheritedLease time.Time
 	// leavesAt is the earliest time at which a leaving endpoint may be gone; zero while it isn't leaving.
 	leavesAt time.Time
 	// shutdownAt is when the endpoint announced that it shuts down; zero before.
@@ -117,6 +122,10 @@
 		neverStarted: map[hswork.RunID]bool{},
 		paces:        map[hswork.RunID]hswork.Percent{},
 	}
+	if r.generations == 1 {
+		lease := r.config.MaxLease
+		s.inheritedLease = now.Add(lease + lease*clockDriftPercent/100 + leaseSlack)
+	}
 	s.updateClock(a.Clock, now)
 	s.updateLeaving(now)
 	r.current = s
@@ -162,6 +171,9 @@
 
 // leasesExpired reports whether every lease that a call may have set has expired, also on a slow clock.
 func (s *endpointState) leasesExpired(now time.Time) bool {
+	if now.Before(s.inheritedLease) {
+		return false
+	}
 	ahead := time.Duration(s.deadline - s.clock)
 	return now.After(s.clockReadAt.Add(ahead + ahead*clockDriftPercent/100 + leaseSlack))
 }
@@ -187,6 +199,7 @@
 func (r *Runner) terminate(reason string, now time.Time) {
 	s := r.current
 	s.terminated = true
+	s.minFence = r.fence() + 1
 	for _, p := range r.plan.Runs {
 		r.blockStart(p.Run)
 	}
@@ -222,6 +235,7 @@
 	report.ListsKnown = s.hasLists
 	report.Healthy = s.healthy(now)
 	report.EndpointTerminated = s.terminated
+	report.MinFence = s.minFence
 	report.Running = s.running
 	report.Ended = s.ended
 	for run := range s.neverStarted {
--- a/core/command/hsrunner/pace.go
+++ b/core/command/hsrunner/pace.go
@@ -55,7 +55,7 @@
 		}
 		if next != pace {
 			s.paces[run] = next
-			r.ports.Endpoint.Pace(PaceCall{Target: s.target(), Run: run, Pace: next, Term: r.term})
+			r.ports.Endpoint.Pace(PaceCall{Target: s.target(), Run: run, Pace: next, Fence: r.fence()})
 		}
 	}
 }
--- a/core/command/hsrunner/reconcile.go
+++ b/core/command/hsrunner/reconcile.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hswork"
 )
@@ -46,13 +45,13 @@
 }
 
 // hold asks the endpoint for its lists, and extends its lease up to the end of the leader's grant. One long poll is
-// kept open; a new acknowledgement or a new term is sent at once beside it.
+// kept open; a new acknowledgement or a higher fence is sent at once beside it.
 func (r *Runner) hold(s *endpointState, now time.Time) {
-	urgent := !s.unconfirmed && s.ackedEnd < r.ackableEnd(s) || s.holdTerm < r.term
+	urgent := !s.unconfirmed && s.ackedEnd < r.ackableEnd(s) || s.holdFence < r.fence()
 	if s.holdPending && !urgent || !s.holdPending && now.Before(s.nextHold) && !urgent {
 		return
 	}
-	c := s.newHold(r.ackableEnd(s), r.term)
+	c := s.newHold(r.ackableEnd(s), r.fence())
 	if s.unconfirmed {
 		c.AckedEnd = 0
 	}
@@ -64,7 +63,7 @@
 		}
 	}
 	s.ackedEnd = max(s.ackedEnd, c.AckedEnd)
-	s.holdTerm = r.term
+	s.holdFence = r.fence()
 	if r.canExtendLease(s, now) {
 		c.Deadline = s.deadlineAt(r.leaseUntil)
 		s.deadline = max(s.deadline, c.Deadline)
@@ -73,9 +72,11 @@
 }
 
 // canExtendLease reports whether the run lease is valid and the endpoint is healthy. The lease of an endpoint that
-// doesn't answer isn't extended, so that there is a known time at which its runs have ended.
+// doesn't answer isn't extended, so that there is a known time at which its runs have ended. After that it is extended
+// only with a fence that keeps earlier starts from beginning.
 func (r *Runner) canExtendLease(s *endpointState, now time.Time) bool {
-	return now.Before(r.leaseUntil) && r.plan.EndpointIncarnation == s.endpoint.Incarnation && s.healthy(now) && !s.clockReadAt.IsZero()
+	return now.Before(r.leaseUntil) && r.plan.EndpointIncarnation == s.endpoint.Incarnation && r.fence() >= s.minFence &&
+		s.healthy(now) && !s.clockReadAt.IsZero()
 }
 
 // ackableEnd returns the newest end that the endpoint may forget; zero while the plan is for another incarnation.
@@ -149,7 +150,7 @@
 		Checkpoint: p.Checkpoint,
 		Ticket:     p.Ticket,
 		Deadline:   deadline,
-		Term:       r.term,
+		Fence:      r.fence(),
 	})
 }
 
@@ -173,7 +174,7 @@
 		return
 	}
 	c.pending = true
-	r.ports.Endpoint.Stop(StopCall{Target: s.target(), Run: run, Term: r.term})
+	r.ports.Endpoint.Stop(StopCall{Target: s.target(), Run: run, Fence: r.fence()})
 }
 
 // isDue reports whether a call may be sent now. If not, it brings nextCall forward to the time when it may, unless
@@ -253,7 +254,7 @@
 	c.retryAt = r.ports.Clock.Now().Add(callRetryInterval)
 	if res.Verdict == CallDone || res.Verdict == CallOutdated {
 		// Only lists that are requested from now on are certain to reflect the stop.
-		confirmation := s.newHold(0, r.term)
+		confirmation := s.newHold(0, r.fence())
 		c.confirmedBy = confirmation.Number
 		r.ports.Endpoint.Hold(confirmation)
 	}
@@ -261,9 +262,9 @@
 }
 
 // newHold returns the next hold, which doesn't extend the lease and doesn't wait unless the caller sets that.
-func (s *endpointState) newHold(ackedEnd hswork.EndNumber, term hsid.Term) HoldCall {
+func (s *endpointState) newHold(ackedEnd hswork.EndNumber, fence hswork.Fence) HoldCall {
 	s.holdCount++
-	return HoldCall{Target: s.target(), Number: s.holdCount, AckedEnd: ackedEnd, Term: term}
+	return HoldCall{Target: s.target(), Number: s.holdCount, AckedEnd: ackedEnd, Fence: fence}
 }
 
 // HandleHoldResult handles the result of a HoldCall.
--- a/core/command/hsrunner/runner.go
+++ b/core/command/hsrunner/runner.go
@@ -120,6 +120,9 @@
 // Leader returns the address of the control replica that the runner believes to be the leader; empty when unknown.
 func (r *Runner) Leader() hsstate.Peer { return r.leaseClient.Leader() }
 
+// fence returns the fence of calls to the endpoint. A leader that sends none counts with its term alone.
+func (r *Runner) fence() hswork.Fence { return max(r.plan.Fence, hswork.NewFence(r.term, 0)) }
+
 // Runs returns the number of runs that are known to be running on the endpoint.
 func (r *Runner) Runs() int {
 	if r.current == nil {
--- a/core/command/hsrunner/runner_test.go
+++ b/core/command/hsrunner/runner_test.go
@@ -244,9 +244,13 @@
 }
 
 // TestEndpointTerminated checks that a silent endpoint counts as terminated only after every lease that it was given
-// has expired, and that the planned runs aren't started on it when it answers again.
+// has expired, which are only those of this process once it runs for longer than a lease, and that the planned runs aren't started on it when it answers again.
 func TestEndpointTerminated(t *testing.T) {
 	h := newHarness(t)
+	for range 22 {
+		h.advance(500 * time.Millisecond)
+		h.answerHolds()
+	}
 	h.sendPlan(func(p *hsmessage.Plan) { p.Runs = []hsmessage.PlannedRun{plannedRun(0)} })
 	h.answerStart(hsrunner.CallDone)
 	h.dropHolds()
@@ -269,6 +273,71 @@
 	h.check("starts", len(h.starts), 1)
 }
 
+// TestLateStart freezes the runner between a start and its answer until the lease is over, and lets the endpoint answer
+// again while the start may still be under way. The lease must not be extended by a call with the fence of that start:
+// the endpoint would begin the run although it was given up and may have been done elsewhere.
+func TestLateStart(t *testing.T) {
+	tables := []struct {
+		name  string
+		fence hswork.Fence
+		want  bool
+	}{
+		{"the fence of the start", hswork.NewFence(3, 4), false},
+		{"the fence of an earlier plan", hswork.NewFence(3, 3), false},
+		{"a higher fence", hswork.NewFence(3, 5), true},
+	}
+	for _, tt := range tables {
+		h := newHarness(t)
+		h.sendPlan(func(p *hsmessage.Plan) {
+			p.Fence = hswork.NewFence(3, 4)
+			p.Runs = []hsmessage.PlannedRun{plannedRun(0)}
+		})
+		h.check("fence of the start", h.starts[0].Fence, hswork.NewFence(3, 4))
+		h.now = h.now.Add(12 * time.Second)
+		h.answerStart(hsrunner.CallNoAnswer)
+		h.dropHolds()
+		h.runner.Wake()
+		h.check("terminated", h.report.EndpointTerminated, true)
+		h.check("lowest accepted fence", h.report.MinFence, hswork.NewFence(3, 5))
+		h.advance(300 * time.Millisecond)
+		h.answerHolds()
+		h.sendPlan(func(p *hsmessage.Plan) { p.Fence = tt.fence })
+		h.advance(time.Second)
+		h.answerHolds()
+		extended := false
+		for _, hold := range h.holds {
+			if hold.Deadline > 0 {
+				extended = true
+				h.check(tt.name+": fence of the hold that extends the lease", hold.Fence, tt.fence)
+			}
+		}
+		h.check(tt.name+": lease extended", extended, tt.want)
+	}
+}
+
+// TestRestartBesideSilentEndpoint restarts the runner while its endpoint is silent. The lease that the process before it
+// set lasts up to MaxLease, so the runs of the endpoint must not be given up earlier.
+func TestRestartBesideSilentEndpoint(t *testing.T) {
+	tables := []struct {
+		name   string
+		silent time.Duration
+		want   bool
+	}{
+		{"until the endpoint counts as unhealthy", 3 * time.Second, false},
+		{"until just before the lease of the earlier process ends", hsrunner.DefaultMaxLease, false},
+		{"until that lease has ended on a slow clock", hsrunner.DefaultMaxLease + time.Second, true},
+	}
+	for _, tt := range tables {
+		h := newHarness(t)
+		h.advance(50 * time.Millisecond)
+		for end := h.now.Add(tt.silent); h.now.Before(end); {
+			h.advance(100 * time.Millisecond)
+			h.dropHolds()
+		}
+		h.check(tt.name, h.report.EndpointTerminated, tt.want)
+	}
+}
+
 // TestLateAnnouncement checks that an announcement of an earlier incarnation is ignored while the later one is
 // healthy.
 func TestLateAnnouncement(t *testing.T) {
--- a/core/hsmessage/work.go
+++ b/core/hsmessage/work.go
@@ -121,6 +121,8 @@
 	NeverStarted []hswork.RunID
 	// Refused lists the runs that the endpoint rejected, for lack of capacity or for another reason.
 	Refused []RefusedRun
+	// MinFence is the lowest fence with which the runner extends the endpoint's lease; zero for any.
+	MinFence hswork.Fence
 }
 
 // RefusedRun is a run whose start the endpoint rejected.
@@ -164,6 +166,8 @@
 	AckedEnd hswork.EndNumber
 	// Controls holds the addresses of the control replicas.
 	Controls []hsstate.Peer
+	// Fence is the fence of calls to the endpoint. It rises within a term when the leader gives up a run there.
+	Fence hswork.Fence
 }
 
 func (RunnerReport) message() {}
--- a/internal/play/endpoint.go
+++ b/internal/play/endpoint.go
@@ -70,7 +70,7 @@
 	// lastStopped is the highest run number of each task that ended or that a stop named. Starts up to it are
 	// refused.
 	lastStopped   map[hswork.TaskID]hswork.RunNumber
-	term          hsid.Term
+	fence         hswork.Fence
 	leaseDeadline time.Duration
 	// leaseExpired is when the lease last expired. An end recorded up to then doesn't become EndAcknowledged any more.
 	leaseExpired time.Duration
@@ -92,7 +92,7 @@
 	e.endedTasks = nil
 	e.lastEnd = 0
 	e.lastStopped = map[hswork.TaskID]hswork.RunNumber{}
-	e.term = 0
+	e.fence = 0
 	e.leaseDeadline = 0
 	e.pendingHolds = nil
 }
@@ -197,10 +197,10 @@
 }
 
 func (e *Endpoint) start(c hsrunner.StartCall) hsrunner.CallResult {
-	if c.Term < e.term {
+	if c.Fence < e.fence {
 		return hsrunner.CallResult{Verdict: hsrunner.CallFenced}
 	}
-	e.term = c.Term
+	e.fence = c.Fence
 	if e.running[c.Run] != nil {
 		return hsrunner.CallResult{Verdict: hsrunner.CallDone}
 	}
@@ -316,10 +316,10 @@
 // Stop implements hsrunner.Endpoint.
 func (e *Endpoint) Stop(c hsrunner.StopCall) {
 	e.deliver(c.Target, func() hsrunner.CallResult {
-		if c.Term < e.term {
+		if c.Fence < e.fence {
 			return hsrunner.CallResult{Verdict: hsrunner.CallFenced}
 		}
-		e.term = c.Term
+		e.fence = c.Fence
 		e.lastStopped[c.Run.Task] = max(e.lastStopped[c.Run.Task], c.Run.Number)
 		if r := e.running[c.Run]; r != nil && !r.StopRequested {
 			r.StopRequested = true
--- a/internal/play/hold.go
+++ b/internal/play/hold.go
@@ -58,13 +58,13 @@
 	})
 }
 
-// applyHold renews the lease and discards the ended tasks that the call acknowledges. Calls of an older term are
+// applyHold renews the lease and discards the ended tasks that the call acknowledges. Calls of a lower fence are
 // ignored.
 func (e *Endpoint) applyHold(c hsrunner.HoldCall) {
-	if c.Term < e.term {
+	if c.Fence < e.fence {
 		return
 	}
-	e.term = c.Term
+	e.fence = c.Fence
 	e.extendLease(c.Deadline)
 	for _, x := range e.endedTasks {
 		if x.Number <= c.AckedEnd {
