hslease: a lease that carries newer rules counts as granted

The table now keeps the oldest number that was sent with a lease that may still be valid. TestLagging fails without the change in three rows.

--- a/core/command/hslease/table.go
+++ b/core/command/hslease/table.go
@@ -41,6 +41,10 @@
 	Rules hsid.RuleNumber
 	// Granted is when the lease for Rules was last granted.
 	Granted time.Time
+	// offered is the oldest rule number above Rules that was sent with a lease which may not have expired yet; 0 for
+	// none. offeredAt is when the last such lease was granted. The holder may act on the number before it confirms it.
+	offered   hsid.RuleNumber
+	offeredAt time.Time
 	// LastRequest is when the last request arrived.
 	LastRequest time.Time
 	// sequence is that of the newest request.
@@ -79,6 +83,7 @@
 		holder.Incarnation = r.Incarnation
 		holder.sequence = 0
 		holder.Rules = 0
+		holder.offered = 0
 	}
 	holder.Peer = from
 	holder.LastRequest = now
@@ -86,9 +91,16 @@
 		holder.sequence = r.Sequence
 		holder.Rules = max(holder.Rules, r.Rules)
 	}
+	if holder.offered <= holder.Rules || now.Sub(holder.offeredAt) >= WithDrift(t.length) {
+		holder.offered = 0
+	}
 	lease := hsmessage.Lease{Role: r.Role, Term: term, Sequence: r.Sequence, Duration: t.length, Number: rules.Number}
 	if r.Rules < rules.Number {
 		lease.Rules = rules
+		if holder.offered == 0 {
+			holder.offered = rules.Number
+		}
+		holder.offeredAt = now
 		return lease
 	}
 	holder.Granted = now
@@ -124,16 +136,20 @@
 func (t *Table) Lagging(n hsid.RuleNumber, now time.Time) []hsid.InstanceID {
 	var lagging []hsid.InstanceID
 	for _, h := range t.sortedHolders() {
-		if h.Rules < n && t.mayActOnOlder(h, now) && !slices.Contains(lagging, h.Instance) {
+		if t.mayActOnOlder(h, n, now) && !slices.Contains(lagging, h.Instance) {
 			lagging = append(lagging, h.Instance)
 		}
 	}
 	return lagging
 }
 
-// mayActOnOlder reports whether the lease of a holder that has confirmed an older number may not have expired yet.
-func (t *Table) mayActOnOlder(h *Holder, now time.Time) bool {
-	return h.Rules > 0 && now.Sub(h.Granted) < WithDrift(t.length)
+// mayActOnOlder reports whether a holder may have a valid lease for a number below n, which it has confirmed or which
+// was sent to it.
+func (t *Table) mayActOnOlder(h *Holder, n hsid.RuleNumber, now time.Time) bool {
+	valid := func(number hsid.RuleNumber, granted time.Time) bool {
+		return number > 0 && number < n && now.Sub(granted) < WithDrift(t.length)
+	}
+	return valid(h.Rules, h.Granted) || valid(h.offered, h.offeredAt)
 }
 
 // EarlierLeasesExpired reports whether all leases granted by earlier leaders have expired.
