--- a/core/command/hsmaintenance/coordinator.go
+++ b/core/command/hsmaintenance/coordinator.go
@@ -201,6 +201,8 @@
 	for i := range w.Machines {
 		m := &w.Machines[i]
 		switch {
+		case !m.Requested && c.proposed[m.ID]:
+			down++
 		case !m.Requested:
 			waiting++
 		case !m.Started:
--- a/core/command/hsmaintenance/coordinator_test.go
+++ b/core/command/hsmaintenance/coordinator_test.go
@@ -28,6 +28,9 @@
 	// undrainable holds the endpoints that Drain doesn't get empty.
 	undrainable map[hswork.EndpointID]bool
 	forced      bool
+	// delayCommits keeps proposals about machines in uncommitted until commit is called.
+	delayCommits bool
+	uncommitted  []*hswork.Command
 }
 
 const upkeepDuration = 2 * time.Second
@@ -51,11 +54,28 @@
 func (p *fakePlatform) Clock() time.Duration { return p.now.Sub(time.UnixMilli(0)) }
 
 func (p *fakePlatform) ProposeWork(c *hswork.Command) bool {
+	if p.delayCommits && c.Upkeep != nil {
+		p.uncommitted = append(p.uncommitted, c)
+		return true
+	}
+	p.apply(c)
+	return true
+}
+
+func (p *fakePlatform) apply(c *hswork.Command) {
 	hslifecycle.Apply(p.state, c, 1, p.Clock())
 	if c.Upkeep != nil {
 		defer p.coordinator.Applied(c.Upkeep)
 	}
-	return true
+}
+
+// commit applies the delayed proposals.
+func (p *fakePlatform) commit() {
+	pending := p.uncommitted
+	p.uncommitted = nil
+	for _, c := range pending {
+		p.apply(c)
+	}
 }
 
 func (p *fakePlatform) Drain(id hswork.EndpointID, force bool) bool {
@@ -169,3 +189,22 @@
 		t.Errorf("got no task moved by force near the end of the wave's time, want it")
 	}
 }
+
+// TestSlowCommits checks that the cap of a wave holds while it takes longer to commit an order than to take the next step.
+func TestSlowCommits(t *testing.T) {
+	for _, limit := range []int{1, 2} {
+		p := newFakePlatform(t)
+		p.startWave(limit, time.Minute, "m0", "m1", "m2", "m3")
+		p.delayCommits = true
+		for range 60 {
+			p.advance(700 * time.Millisecond)
+			p.commit()
+		}
+		if got := p.maxDown; got != limit {
+			t.Errorf("cap %d: got %d machines down at once, want %d", limit, got, limit)
+		}
+		if got := len(p.upkeepCount); got != 4 {
+			t.Errorf("cap %d: got %d machines with upkeep, want 4", limit, got)
+		}
+	}
+}
