--- a/core/command/hsplacement/place.go
+++ b/core/command/hsplacement/place.go
@@ -230,7 +230,7 @@
 	total += costReserved * fractionIn(mask, maskAt(request.Reserved, s.Index))
 	ownShare := fractionIn(mask, maskAt(request.OwnHomes, s.Index))
 	if request.PreferOwnHomes {
-		ownShare = ownShare - 1
+		ownShare = -ownShare
 	}
 	total += costOwnHome * ownShare
 	switch {
--- a/core/command/hsplacement/place_test.go
+++ b/core/command/hsplacement/place_test.go
@@ -76,6 +76,29 @@
 	}
 }
 
+// TestOwnHomes checks whether a job is placed in a home of its workspace or beside it.
+func TestOwnHomes(t *testing.T) {
+	tables := []struct {
+		name   string
+		prefer bool
+		want   hsid.InstanceID
+	}{
+		{"a job of another shape leaves the home free", false, "w1"},
+		{"a job of the guaranteed shape uses the home", true, "w0"},
+	}
+	for _, tt := range tables {
+		request := hsplacement.Request{
+			Spec:           &hsstate.Spec{Shape: shapeOf("8x1worker")},
+			OwnHomes:       []hsfleet.Mask{0xff, 0},
+			PreferOwnHomes: tt.prefer,
+		}
+		got := hsplacement.Place(layoutOf(0, 0), hsplacement.Weights{Completion: 1, Fragmentation: 1}, request)
+		if len(got) != 1 || got[0].Worker != tt.want {
+			t.Errorf("%s: got %v, want %s", tt.name, got, tt.want)
+		}
+	}
+}
+
 // TestFragmentation checks which share of the free accelerators is of no use to a shape.
 func TestFragmentation(t *testing.T) {
 	tables := []struct {
