--- a/core/command/hsquorum/cluster_test.go
+++ b/core/command/hsquorum/cluster_test.go
@@ -66,6 +66,9 @@
 	term     hsid.Term
 }
 
+// maxDeliveries is the number of messages that replicas may exchange without time passing.
+const maxDeliveries = 20000
+
 // maxClockDrift is the largest deviation of a clock's rate from 1.
 const maxClockDrift = 0.015
 
@@ -325,7 +328,10 @@
 		for _, n := range c.nodes {
 			n.finishSave()
 		}
-		for len(c.inFlight) > 0 {
+		for delivered := 0; len(c.inFlight) > 0; delivered++ {
+			if delivered > maxDeliveries {
+				c.t.Fatalf("replicas answer each other without end:%s", c.describe())
+			}
 			c.deliver(0, false)
 			for _, n := range c.nodes {
 				n.finishSave()
--- a/core/command/hsquorum/scenario_test.go
+++ b/core/command/hsquorum/scenario_test.go
@@ -255,3 +255,29 @@
 	l.diskStuck = false
 	c.healAndCheck()
 }
+
+// TestSnapshotBesidePendingOne takes snapshots after every few entries while the disk of a follower stalls and its links
+// fail at random. When the follower installs the leader's snapshot while its own next one is due, the size that it
+// counted belongs to entries that the installed snapshot contains, and the next append must not compact the empty log.
+func TestSnapshotBesidePendingOne(t *testing.T) {
+	for _, seed := range []uint64{36, 423, 519, 987} {
+		var empty hsstate.Command
+		c := newCluster(t, seed, 3, 0, hsquorum.Config{SnapshotBytes: 3 * empty.Size(), RetainEntries: 1})
+		f := anyFollower(c, waitForLeader(t, c))
+		for range 600 {
+			f.diskStuck = c.random.IntN(3) > 0
+			switch c.random.IntN(12) {
+			case 0:
+				c.isolate(f.id)
+			case 1, 2:
+				clear(c.cutLinks)
+			}
+			for range c.random.IntN(4) {
+				c.propose()
+			}
+			c.runTicks(1, tick)
+		}
+		f.diskStuck = false
+		c.healAndCheck()
+	}
+}
--- a/core/command/hsquorum/snapshot.go
+++ b/core/command/hsquorum/snapshot.go
@@ -22,7 +22,8 @@
 // compactLog takes a snapshot and compacts the log once enough entries were applied since the last snapshot. It waits
 // while a snapshot is still to be handed to the storage.
 func (r *Replica) compactLog() {
-	due := int(r.appliedIndex-r.snapshot.Index) >= r.config.SnapshotEntries || r.bytesSinceSnapshot >= r.config.SnapshotBytes
+	applied := int(r.appliedIndex - r.snapshot.Index)
+	due := applied >= r.config.SnapshotEntries || applied > 0 && r.bytesSinceSnapshot >= r.config.SnapshotBytes
 	if !due || r.disk.pendingSnapshot != nil {
 		return
 	}
@@ -94,8 +95,14 @@
 }
 
 // receiveSnapshotChunk collects the chunks of a snapshot and installs it when it is complete. A snapshot that is
-// already covered by the commit index is acknowledged like an append request.
+// already covered by the commit index, or whose last entry is in the log, is acknowledged like an append request:
+// installing it would drop the entries after it, which this replica may have acknowledged.
 func (r *Replica) receiveSnapshotChunk(m hsmessage.SnapshotChunk) {
+	if t, ok := r.log.term(m.LastIndex); ok && t == m.LastTerm && m.LastIndex > r.commitIndex {
+		r.verifiedIndex = max(r.verifiedIndex, m.LastIndex)
+		r.commitIndex = m.LastIndex
+		r.applyCommitted()
+	}
 	if m.LastIndex <= r.commitIndex {
 		r.verifiedIndex = max(r.verifiedIndex, min(m.LastIndex, r.log.lastIndex()))
 		r.send(m.Address, hsmessage.AppendReply{
@@ -144,6 +151,7 @@
 	r.commitIndex = m.LastIndex
 	r.appliedIndex = m.LastIndex
 	r.verifiedIndex = m.LastIndex
+	r.bytesSinceSnapshot = 0
 	r.setMembers(r.cluster, m.Members, m.LastIndex)
 	pending := r.snapshot
 	r.disk.pendingSnapshot = &pending
