--- a/core/command/hsdispatch/health_test.go
+++ b/core/command/hsdispatch/health_test.go
@@ -52,3 +52,17 @@
 		h.assertEqual(tt.name, h.assignments(job), []string{tt.want})
 	}
 }
+
+// TestFailureCountedOnce checks that a failure that several reports list before its end is committed counts once: the
+// worker isn't suspect, which would keep it out of reservations.
+func TestFailureCountedOnce(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a", "r1-1")
+	job := h.submit(1, 1, "w2", step(1, 1000, 1))
+	h.applyPlan("a")
+	h.listEnd("a", hswork.RunID{Task: taskID(job, 0), Number: 1}, hswork.EndFailed, "")
+	for range 3 {
+		h.report("a")
+	}
+	h.assertEqual("failures", h.dispatcher.Failures("a"), 1)
+}
