--- a/core/command/hsdispatch/schedule.go
+++ b/core/command/hsdispatch/schedule.go
@@ -56,10 +56,12 @@
 	dataRack hswork.Label
 	sameRack bool
 	spread   int
+	// spreadStep is set for a step with a spread limit, which holds for its own tasks only.
+	spreadStep StepID
 }
 
 func placementClassOf(u *unit) placementClass {
-	return placementClass{
+	c := placementClass{
 		pool:     u.job.Pool,
 		need:     need(u.step),
 		count:    len(u.tasks),
@@ -68,6 +70,10 @@
 		sameRack: u.step.SameRack,
 		spread:   u.step.Spread,
 	}
+	if u.step.Spread > 0 {
+		c.spreadStep = stepIDOf(u.key())
+	}
+	return c
 }
 
 // start proposes the start of a unit. It does nothing if leadership was lost.
