--- a/core/command/hsdispatch/place.go
+++ b/core/command/hsdispatch/place.go
@@ -142,7 +142,7 @@
 	total := 0.0
 	var members []hswork.Member
 	for _, t := range u.tasks {
-		best, cost := cheapest(u, eligible, left, counts, fit)
+		best, cost := d.cheapest(u, eligible, left, counts, fit)
 		if best == nil {
 			return nil, 0
 		}
@@ -155,8 +155,7 @@
 	return members, total
 }
 
-// isEligible reports whether a unit may be placed on a worker that has the capacity. Covered units may use reserved
-// workers.
+// isEligible reports whether a unit may be placed on a worker that has the capacity.
 func (d *Dispatcher) isEligible(u *unit, o *offer, rack hswork.Label) bool {
 	if rack != "" && o.rack != rack || !o.suits(u.job.Pool, u.step) {
 		return false
@@ -164,18 +163,28 @@
 	if _, ok := d.validTicket(u, o); !ok {
 		return false
 	}
-	return u.covered || o.reserved.allowsBackfill(need(u.step), d.expectedRunTime(u.job, u.step))
+	return true
+}
+
+// mayBackfill reports whether a reservation on a worker allows another task of a unit there, beside those that left
+// already counts. Covered units may use reserved workers.
+func (d *Dispatcher) mayBackfill(u *unit, o *offer, left hswork.Resources) bool {
+	taken := o.free.Minus(left).Plus(need(u.step))
+	return u.covered || o.reserved.allowsBackfill(taken, d.expectedRunTime(u.job, u.step))
 }
 
 // cheapest returns the worker where the next task of a unit costs least, or nil if it fits on none. Counts holds the
 // tasks of the step on each worker, for the spread limit.
-func cheapest(u *unit, eligible []*offer, left map[hsid.InstanceID]hswork.Resources, counts map[hsid.InstanceID]int, fit fitFunc) (*offer, float64) {
+func (d *Dispatcher) cheapest(u *unit, eligible []*offer, left map[hsid.InstanceID]hswork.Resources, counts map[hsid.InstanceID]int, fit fitFunc) (*offer, float64) {
 	var best *offer
 	bestCost := 0.0
 	for _, o := range eligible {
 		if u.step.Spread > 0 && counts[o.worker.id] >= u.step.Spread {
 			continue
 		}
+		if o.reserved != nil && !d.mayBackfill(u, o, left[o.worker.id]) {
+			continue
+		}
 		cost, ok := fit(u, o, left[o.worker.id])
 		if !ok {
 			continue
--- a/core/command/hsdispatch/place_test.go
+++ b/core/command/hsdispatch/place_test.go
@@ -136,3 +136,35 @@
 		}
 	}
 }
+
+// TestBackfillCountsWholeUnit checks that the members of a gang together stay within the capacity that a reservation
+// leaves. A long run holds 4 of 8 accelerators, a task of 6 has reserved the worker until it ends, and 2 are spare.
+func TestBackfillCountsWholeUnit(t *testing.T) {
+	tables := []struct {
+		name  string
+		count int
+		want  int
+	}{
+		{"a gang within the spare capacity", 2, 2},
+		{"a gang beyond it", 4, 0},
+	}
+	for _, tt := range tables {
+		h := newHarness(t)
+		for _, id := range []string{"a", "b", "c"} {
+			h.addWorker(id, "r1-1")
+		}
+		filler := with(step(1, 1000, 4), func(s *hswork.Step) { s.Estimate = time.Minute })
+		for i, id := range []string{"a", "b", "c"} {
+			s := filler
+			if id != "a" {
+				s.Need.Accelerators = 8
+			}
+			h.submit(1+i, 0, "w2", s)
+		}
+		h.applyPlans()
+		h.submit(10, 0, "w2", step(1, 1000, 6))
+		gang := with(step(tt.count, 1000, 1), func(s *hswork.Step) { s.Gang = true; s.Estimate = 10 * time.Minute })
+		job := h.submit(11, 0, "w2", gang)
+		h.assertEqual(tt.name, len(h.assignments(job)), tt.want)
+	}
+}
