--- a/core/command/hsrunner/lifecycle.go
+++ b/core/command/hsrunner/lifecycle.go
@@ -64,6 +64,8 @@
 	neverStarted map[hswork.RunID]bool
 	// paces holds the speed that each best-effort run was throttled to; a run that isn't in it works at full speed.
 	paces map[hswork.RunID]hswork.Percent
+	// unconfirmedPaces holds the runs whose last pace call wasn't confirmed.
+	unconfirmedPaces map[hswork.RunID]bool
 }
 
 // call tracks the start or stop of a run, from the first attempt until the run is settled.
@@ -121,6 +123,8 @@
 		refused:      map[hswork.RunID]string{},
 		neverStarted: map[hswork.RunID]bool{},
 		paces:        map[hswork.RunID]hswork.Percent{},
+
+		unconfirmedPaces: map[hswork.RunID]bool{},
 	}
 	if r.generations == 1 {
 		lease := r.config.MaxLease
--- a/core/command/hsrunner/pace.go
+++ b/core/command/hsrunner/pace.go
@@ -32,6 +32,7 @@
 	for run := range s.paces {
 		if !s.isRunning(run) {
 			delete(s.paces, run)
+			delete(s.unconfirmedPaces, run)
 		}
 	}
 	if !hasServing {
@@ -42,6 +43,7 @@
 		if !ok {
 			pace = fullPace
 		}
+		unconfirmed := s.unconfirmedPaces[run]
 		next := pace
 		switch {
 		case highest > pausePercent:
@@ -53,18 +55,20 @@
 		case highest <= speedUpPercent:
 			next = min(pace+paceStep, fullPace)
 		}
-		if next != pace {
+		if next != pace || unconfirmed {
 			s.paces[run] = next
+			delete(s.unconfirmedPaces, run)
 			r.ports.Endpoint.Pace(PaceCall{Target: s.target(), Run: run, Pace: next, Fence: r.fence()})
 		}
 	}
 }
 
 // HandlePaceResult handles the result of a PaceCall. If the pace isn't confirmed, the run is assumed to work at full
-// speed again, and the next lists are handled on that assumption.
+// speed again, and the next lists are handled on that assumption. They set its pace anew in any case, as it may be paused.
 func (r *Runner) HandlePaceResult(run hswork.RunID, res CallResult) {
 	if s := r.stateFor(res); s != nil && res.Verdict != CallDone {
 		delete(s.paces, run)
+		s.unconfirmedPaces[run] = true
 	}
 }
 
--- a/core/command/hsrunner/runner_test.go
+++ b/core/command/hsrunner/runner_test.go
@@ -378,3 +378,28 @@
 		h.check(tt.name, h.calls, tt.want)
 	}
 }
+
+// TestUnconfirmedPace checks that a pace without an answer is set again with the next lists, also when the run is to work
+// at full speed: it may still be paused.
+func TestUnconfirmedPace(t *testing.T) {
+	h := newHarness(t)
+	serving, bestEffort := plannedRun(0), plannedRun(1)
+	serving.TailTarget = 100 * time.Millisecond
+	bestEffort.BestEffort = true
+	h.sendPlan(func(p *hsmessage.Plan) { p.Runs = []hsmessage.PlannedRun{serving, bestEffort} })
+	list := func(tail int64) {
+		h.calls = nil
+		h.running = []hsmessage.RunningTask{{Run: runID(0), Percent: 100, Load: tail}, {Run: runID(1)}}
+		h.advance(500 * time.Millisecond)
+		h.answerHolds()
+	}
+	list(120)
+	h.check("over the target", h.calls, []string{"pace j.0.0.1/1 0"})
+	list(40)
+	h.check("well below it", h.calls, []string{"pace j.0.0.1/1 10"})
+	h.runner.HandlePaceResult(runID(1), hsrunner.CallResult{Generation: 1, Verdict: hsrunner.CallNoAnswer})
+	list(40)
+	h.check("after no answer", h.calls, []string{"pace j.0.0.1/1 100"})
+	list(40)
+	h.check("once more", len(h.calls), 0)
+}
