Evacuation of an availability zone

The product gains 'hyssopseam zone evacuate|restore|list', the calls behind it, a line in status and the setting control.zones, with which unknown zones are answered 404. Cold workers aren't considered yet.

--- a/cmd/hyssopseam/main.go
+++ b/cmd/hyssopseam/main.go
@@ -7,6 +7,7 @@
 //	hyssopseam status | workers | dump | explain JOB
 //	hyssopseam trace ID LOG...
 //	hyssopseam members list|add|remove|replace
+//	hyssopseam zone list|evacuate|restore [ZONE]
 //	hyssopseam demo [--stay]
 //
 // Every command that talks to a server takes --server (repeatable; the next is tried on failure) and --json.
@@ -106,6 +107,7 @@
 			t.viewCommand("dump", "the internal state of the process that answers", "/dump", nil),
 			t.traceCommand(),
 			t.membersCommand(),
+			t.zoneCommand(),
 			t.demoCommand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- a/cmd/hyssopseam/tool_test.go
+++ b/cmd/hyssopseam/tool_test.go
@@ -57,6 +57,7 @@
 		want string
 	}{
 		{"no command", nil, exitUsage, ""},
+		{"zone evacuate without a zone", []string{"zone", "evacuate"}, exitUsage, ""},
 		{"unknown flag", []string{"status", "--colour"}, exitUsage, ""},
 		{"check", []string{"rules", "check", rules}, exitDone, "no faults"},
 		{"check faulty", []string{"rules", "check", faulty}, exitUsage, "faulty.txt:3:1"},
@@ -76,6 +77,12 @@
 		{"workers", []string{"workers", "--json"}, exitDone, `"instance":"worker-1"`},
 		{"dump", []string{"dump"}, exitDone, `"control"`},
 		{"members", []string{"members", "list"}, exitDone, "leader"},
+		{"evacuate a zone", []string{"zone", "evacuate", "zone-a"}, exitDone, ""},
+		{"evacuate it again", []string{"zone", "evacuate", "zone-a"}, exitDone, ""},
+		{"status during an evacuation", []string{"status"}, exitDone, "evacuated zones: [zone-a]"},
+		{"list the evacuated zones", []string{"zone", "list"}, exitDone, "zone-a"},
+		{"restore the zone", []string{"zone", "restore", "zone-a"}, exitDone, ""},
+		{"list after it", []string{"zone", "list", "--json"}, exitDone, "[]"},
 		{"remove the only member", []string{"members", "remove", "1"}, exitFailure, "isn't a member"},
 		{"next server is tried", []string{"status", "--server", "127.160.0.99:1,"}, exitDone, "leader"},
 		{"no server", []string{"status", "--server", "127.160.0.99:1"}, exitFailure, ""},
--- a/cmd/hyssopseam/view.go
+++ b/cmd/hyssopseam/view.go
@@ -61,6 +61,9 @@
 	fmt.Fprintf(t.out, "leader %s in term %d; rules %d, everywhere %v %v\n", s.Leader, s.Term, s.Rules, s.Everywhere, s.Lagging)
 	fmt.Fprintf(t.out, "%d workers, %d accelerators, %d free, fragmentation %.2f for %s\n", s.Workers, s.Accelerators, s.Free, s.Fragmentation, s.LargestDemand)
 	fmt.Fprintf(t.out, "%d jobs queued (oldest waits %s), %d running, %d finished\n", s.Queued, formatDuration(s.OldestWait), s.Running, s.Finished)
+	if len(s.EvacuatedZones) > 0 {
+		fmt.Fprintf(t.out, "evacuated zones: %v\n", s.EvacuatedZones)
+	}
 	if len(s.Quarantined) > 0 {
 		fmt.Fprintf(t.out, "quarantined: %v\n", s.Quarantined)
 	}
--- a/core/command/hscontrol/config.go
+++ b/core/command/hscontrol/config.go
@@ -71,6 +71,8 @@
 	// ReplaceAfter is how long a member may be silent before it is replaced by a replica that asks to join. Zero
 	// leaves replacements to the operator.
 	ReplaceAfter time.Duration
+	// Zones lists the availability zones that may be evacuated; an empty list allows any name.
+	Zones []hsid.ZoneID
 	// Disabled lists the scheduling mechanisms to disable, for comparison.
 	Disabled Disabled
 }
--- a/core/command/hscontrol/leader.go
+++ b/core/command/hscontrol/leader.go
@@ -204,7 +204,11 @@
 
 // layout returns the current layout of the fleet, with the placements of all jobs that run or are being prepared.
 func (c *Control) layout() *hsfleet.Layout {
-	return hsfleet.NewLayout(c.leader.fleet, c.state.Rules.InForce.Number, c.leader.allocated)
+	l := hsfleet.NewLayout(c.leader.fleet, c.state.Rules.InForce.Number, c.leader.allocated)
+	for _, z := range c.state.Work.EvacuatedZones {
+		l.ExcludeZone(z.Zone)
+	}
+	return l
 }
 
 // propose appends a command to the log and returns the index of its entry. It reports false when this replica has
--- a/core/command/hscontrol/work.go
+++ b/core/command/hscontrol/work.go
@@ -89,6 +89,8 @@
 		return c.startWave(q.Wave)
 	case hsmessage.WorkGetWave:
 		return c.getWave(q.Wave), nil
+	case hsmessage.WorkEvacuate, hsmessage.WorkRestore:
+		return c.changeZone(q.Zone, q.Action == hsmessage.WorkRestore)
 	}
 	s := c.state.Work
 	if s.Catalog.Version == 0 {
--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -245,6 +245,7 @@
 		d.lastPass = d.ports.Clock.Now()
 		d.endLostRuns(d.lastPass)
 		d.relocateRuns(d.lastPass)
+		d.stopUnstarted()
 		d.schedule(d.lastPass)
 	}
 	d.sendPlans()
--- a/core/command/hsdispatch/offer.go
+++ b/core/command/hsdispatch/offer.go
@@ -20,12 +20,12 @@
 	reserved *reservation
 }
 
-// offers returns the offers of the workers of all pools that accept new runs, in the order of the worker ids.
+// offers returns the offers of the workers of all pools that accept new runs and aren't evacuated, in the order of the worker ids.
 // Capacity that placed, stray, proposed and claimed runs use isn't free. It updates totalCores.
 func (d *Dispatcher) offers(now time.Time) []*offer {
 	var offers []*offer
 	for _, w := range d.workers {
-		if acceptsRuns(&w.report) && now.Sub(w.lastHeard) < silenceTimeout && !d.isDraining(w.report.Endpoint.ID, now) {
+		if acceptsRuns(&w.report) && now.Sub(w.lastHeard) < silenceTimeout && !d.isDraining(w.report.Endpoint.ID, now) && !d.isEvacuated(w) {
 			w.health.expireFailures(now)
 			e := &w.report.Endpoint
 			offers = append(offers, &offer{worker: w, rack: e.Rack, total: e.Capacity, free: e.Capacity.Minus(d.usedOn(w))})
--- a/core/command/hslifecycle/apply.go
+++ b/core/command/hslifecycle/apply.go
@@ -57,6 +57,8 @@
 		}
 	case c.Upkeep != nil:
 		recordUpkeep(s, c.Upkeep)
+	case c.Zone != nil:
+		evacuate(s, c.Zone, clock)
 	}
 	pruneEndedJobs(s, clock)
 }
--- a/core/hsfleet/layout.go
+++ b/core/hsfleet/layout.go
@@ -111,6 +111,16 @@
 	return s
 }
 
+// ExcludeZone makes the workers of a zone unusable for new work.
+func (l *Layout) ExcludeZone(zone hsid.ZoneID) {
+	for _, s := range l.Slots {
+		if s.Worker.Report.Worker.Zone == zone {
+			s.Usable = false
+			s.Free = 0
+		}
+	}
+}
+
 func (s *Slot) hold(o *occupancy) {
 	s.Held |= o.held
 	s.Free &^= o.held
--- a/core/hsmessage/work.go
+++ b/core/hsmessage/work.go
@@ -24,6 +24,9 @@
 	WorkGetCatalog WorkAction = "getCatalog"
 	WorkStartWave  WorkAction = "startWave"
 	WorkGetWave    WorkAction = "getWave"
+	// WorkEvacuate keeps new runs off the workers of an availability zone; WorkRestore ends that.
+	WorkEvacuate WorkAction = "evacuateZone"
+	WorkRestore  WorkAction = "restoreZone"
 )
 
 // WorkRequest is a request about step jobs. Host, Path and Key are as the caller sent them; from them the leader
@@ -39,6 +42,8 @@
 	Catalog *hswork.Catalog
 	// Wave is set for WorkStartWave, and for WorkGetWave with only its identifier.
 	Wave *hswork.Wave
+	// Zone is set for WorkEvacuate and WorkRestore.
+	Zone hsid.ZoneID
 }
 
 // WorkVerdict is the result of a WorkRequest.
@@ -53,6 +58,7 @@
 	WorkBad        WorkVerdict = "bad"
 	WorkNotReady   WorkVerdict = "notReady"
 	WorkOverloaded WorkVerdict = "overloaded"
+	WorkNoZone     WorkVerdict = "noZone"
 )
 
 // WorkReply is the answer to a WorkRequest.
--- a/core/hsview/view.go
+++ b/core/hsview/view.go
@@ -121,6 +121,8 @@
 	Quarantined []hsid.InstanceID
 	// Learning is set while some agents may not have reported to the leader yet.
 	Learning bool
+	// EvacuatedZones lists the availability zones on whose workers nothing is started.
+	EvacuatedZones []hsid.ZoneID
 }
 
 // Explanation explains the state of a job: why it waits, where it runs, or how it ended.
--- a/core/hswork/state.go
+++ b/core/hswork/state.go
@@ -19,6 +19,8 @@
 	Waves []Wave
 	// RunTimes holds the observed run times of each queue in the catalog.
 	RunTimes map[QueueName]*RunTimeStats
+	// EvacuatedZones lists the availability zones on whose workers nothing is started, by name.
+	EvacuatedZones []EvacuatedZone
 }
 
 // NewState returns an empty state.
@@ -47,6 +49,8 @@
 	Wave     *Wave
 	WaveDone *WaveDone
 	Upkeep   *UpkeepProgress
+	// Zone evacuates an availability zone or restores it.
+	Zone *ZoneEvacuation
 }
 
 // catalogSizeFactor is the size of a catalog relative to its content: the content itself and the parsed form.
--- a/core/query/hsreport/status.go
+++ b/core/query/hsreport/status.go
@@ -38,6 +38,9 @@
 	if s.Demand.Total() > 0 {
 		v.LargestDemand = s.Demand.String()
 	}
+	for _, z := range s.Replicated.Work.EvacuatedZones {
+		v.EvacuatedZones = append(v.EvacuatedZones, z.Zone)
+	}
 	for _, j := range s.Replicated.Jobs {
 		if j.Phase == hsstate.Running {
 			v.Running++
--- a/io/command/hscommandapi/api.go
+++ b/io/command/hscommandapi/api.go
@@ -5,6 +5,7 @@
 //	POST   /v1/cancellations  cancel many jobs
 //	PUT    /v1/rules          put a rule file in force (?operator=NAME)
 //	POST   /v1/members        change the control replicas
+//	POST   /v1/zones/{zone}/evacuate and /restore   keep new work off an availability zone, and end that
 //
 // Errors are reported as problem details of package hsproblem. Invalid input never changes anything. The handlers are
 // stateless: they pass typed requests to the control goroutine and wait for the reply.
@@ -59,6 +60,11 @@
 		Param(ws.QueryParameter("operator", "the operator who pushes the file")).Returns(http.StatusOK, "accepted", rulesAccepted{}))
 	ws.Route(ws.POST("/members").To(a.changeMembers).Doc("change the control replicas").Operation("changeMembers").
 		Reads(membersBody{}))
+	zone := ws.PathParameter("zone", "the availability zone")
+	ws.Route(ws.POST("/zones/{zone}/evacuate").To(a.changeZone(hsmessage.WorkEvacuate)).Param(zone).Consumes("*/*").
+		Doc("keep new work off an availability zone").Operation("evacuateZone"))
+	ws.Route(ws.POST("/zones/{zone}/restore").To(a.changeZone(hsmessage.WorkRestore)).Param(zone).Consumes("*/*").
+		Doc("end the evacuation of an availability zone").Operation("restoreZone"))
 }
 
 // writeView writes a view as JSON.
--- a/io/hsapp/role.go
+++ b/io/hsapp/role.go
@@ -199,6 +199,7 @@
 		Work:               hsdispatch.Config{Lease: s.Work.Lease(), StopTimeout: time.Duration(s.Work.StopTimeout), OffRackSlowdown: s.Work.OffRackSlowdown},
 
 		FormationTimeout: time.Duration(c.FormationTimeout),
+		Zones:            c.Zones,
 		ReplaceAfter:     time.Duration(c.ReplaceAfter),
 	}
 }
--- a/io/hsdecision/recorder.go
+++ b/io/hsdecision/recorder.go
@@ -66,6 +66,9 @@
 		}
 	}
 	attrs := []any{"request", id, "action", q.Action, "path", q.Path, "verdict", r.Verdict, "catalog", catalog}
+	if q.Zone != "" {
+		attrs = append(attrs, "zone", q.Zone)
+	}
 	if q.Catalog != nil {
 		attrs = append(attrs, "sent", q.Catalog.Version)
 	}
--- a/io/hssettings/settings.go
+++ b/io/hssettings/settings.go
@@ -107,6 +107,8 @@
 	// FormationTimeout is how long after the forming of the cluster catalogs and step jobs may wait for all replicas to
 	// join.
 	FormationTimeout Duration `toml:"foundBefore"`
+	// Zones lists the availability zones that operators may evacuate; an empty list allows any name.
+	Zones []hsid.ZoneID `toml:"zones"`
 }
 
 // Work holds the settings of step jobs; control and runners use the same.
--- a/io/query/hsqueryapi/api.go
+++ b/io/query/hsqueryapi/api.go
@@ -9,6 +9,7 @@
 //	GET /v1/rules                  the rules in force (?everywhere=N&wait=4s)
 //	GET /v1/rules/history          the accepted files (?number=N with content)
 //	GET /v1/members                the control replicas
+//	GET /v1/zones                  the evacuated availability zones
 //
 // Every query is answered by the leader while its lease is valid. The handlers are stateless.
 //
@@ -76,6 +77,8 @@
 		Param(ws.QueryParameter("number", "the number of the file to return with its content")).Writes([]hsview.RuleFile{}))
 	ws.Route(ws.GET("/members").To(viewHandler(a, hsmessage.QueryMembers, func(v *hsview.View) any { return v.Members })).
 		Doc("the control replicas").Operation("listMembers").Writes(hsview.Members{}))
+	ws.Route(ws.GET("/zones").To(viewHandler(a, hsmessage.QueryStatus, func(v *hsview.View) any { return v.Status.EvacuatedZones })).
+		Doc("the evacuated availability zones").Operation("listZones").Writes([]hsid.ZoneID{}))
 }
 
 // viewHandler returns the handler of one query; selectPart returns the part of the view that is written.
