hsdispatch: each stop is logged and counted with its reason

The log said only 'run gives way', 'run makes no progress' or 'run is moved off its worker'. One event now tells the reason (guarantee, priority, stalled, leaving, maintenance, evacuated, refused), for whom, and how long the run had been in progress: 'run is stopped', and work_runs_stopped_total{reason}.

--- a/core/command/hsdispatch/claim.go
+++ b/core/command/hsdispatch/claim.go
@@ -91,9 +91,12 @@
 	if !u.covered && pre.loss > sel.budget(len(members), pre.spare) {
 		return false
 	}
+	reason := StopForPriority
+	if u.covered {
+		reason = StopForGuarantee
+	}
 	for _, p := range pre.victims {
-		d.ports.Observer.Preempted(p.run, p.assignment.Worker, u.job.ID)
-		d.stopRun(p.placedRun)
+		d.stopRun(p.placedRun, reason, u.job.ID)
 	}
 	deduct(u, members, offers)
 	d.claims[u.key()] = &claim{members: members, createdAt: now}
@@ -109,21 +112,3 @@
 func equivalentCores(r hswork.Resources) float64 {
 	return float64(r.Cores)/1000 + coresPerAccelerator*float64(r.Accelerators)
 }
-
-// stopRun marks a run for stopping, along with the other members of its gang, and requests the plans that say so.
-func (d *Dispatcher) stopRun(p placedRun) {
-	tasks := []hswork.Task{*p.task}
-	if p.step.Gang {
-		tasks = p.job.Occurrences[p.run.Task.Occurrence].Steps[p.run.Task.Step]
-	}
-	for i := range tasks {
-		run := p.run
-		if p.step.Gang {
-			run.Task.Index = i
-		}
-		if assignment := tasks[i].Assignment(p.run.Number); assignment != nil {
-			d.stopping[run] = true
-			d.requestPlan(assignment.Worker)
-		}
-	}
-}
--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -81,12 +81,8 @@
 	Placed(s *hswork.Start, waited time.Duration)
 	// RunEnded reports a proposed end.
 	RunEnded(e *hswork.End, worker hsid.InstanceID)
-	// Preempted reports a run that is stopped to free capacity for a job.
-	Preempted(run hswork.RunID, worker hsid.InstanceID, by hswork.ID)
-	// Stalled reports a run that is stopped because it makes no progress.
-	Stalled(run hswork.RunID, worker hsid.InstanceID)
-	// Relocated reports a run that is stopped because its worker leaves or its endpoint is drained.
-	Relocated(run hswork.RunID, worker hsid.InstanceID)
+	// Stopping reports the decision to stop a run.
+	Stopping(s Stop)
 	// WorkerChanged reports that a worker announced another incarnation of its endpoint, or that usable changed:
 	// whether it accepts new runs.
 	WorkerChanged(id hsid.InstanceID, endpoint hsmessage.Endpoint, usable bool)
--- a/core/command/hsdispatch/drain.go
+++ b/core/command/hsdispatch/drain.go
@@ -24,8 +24,7 @@
 		for _, p := range runs {
 			movable := p.step.Checkpoints || p.step.LongRunning || force
 			if movable && !d.atMaxUnavailable(p) && !d.stopping[p.run] && !d.proposedEnds[p.run] {
-				d.ports.Observer.Relocated(p.run, w.id)
-				d.stopRun(p)
+				d.stopRun(p, StopMaintenance, "")
 			}
 		}
 		return len(runs) == 0 && len(w.report.Running) == 0
--- a/core/command/hsdispatch/harness_test.go
+++ b/core/command/hsdispatch/harness_test.go
@@ -22,6 +22,7 @@
 	index      hsid.LogIndex
 	dispatcher *hsdispatch.Dispatcher
 	proposed   []*hswork.Command
+	stops      []hsdispatch.Stop
 	plans      map[hsid.InstanceID]hsmessage.Plan
 	reports    map[hsid.InstanceID]*hsmessage.RunnerReport
 	// adviser is the adviser of the next leadership; it may be nil.
@@ -45,9 +46,7 @@
 
 func (h *harness) Placed(*hswork.Start, time.Duration)                     {}
 func (h *harness) RunEnded(*hswork.End, hsid.InstanceID)                   {}
-func (h *harness) Preempted(hswork.RunID, hsid.InstanceID, hswork.ID)      {}
-func (h *harness) Stalled(hswork.RunID, hsid.InstanceID)                   {}
-func (h *harness) Relocated(hswork.RunID, hsid.InstanceID)                 {}
+func (h *harness) Stopping(s hsdispatch.Stop)                              { h.stops = append(h.stops, s) }
 func (h *harness) WorkerChanged(hsid.InstanceID, hsmessage.Endpoint, bool) {}
 
 const (
--- a/core/command/hsdispatch/stall.go
+++ b/core/command/hsdispatch/stall.go
@@ -64,11 +64,9 @@
 			case p.step.LongRunning && !w.report.Endpoint.Leaving:
 			case d.stalled(p, now):
 				w.health.recordStall(now)
-				d.ports.Observer.Stalled(p.run, id)
-				d.stopRun(p)
+				d.stopRun(p, StopStalled, "")
 			case w.report.Endpoint.Leaving && d.outlastsWorker(p, w.report.Endpoint.LeavesIn, now):
-				d.ports.Observer.Relocated(p.run, id)
-				d.stopRun(p)
+				d.stopRun(p, StopLeaving, "")
 			}
 		}
 	}
--- a/core/command/hsdispatch/worker.go
+++ b/core/command/hsdispatch/worker.go
@@ -124,6 +124,7 @@
 	for _, r := range report.Refused {
 		if d.assignmentOn(w, r.Run) != nil && !d.stopping[r.Run] {
 			d.stopping[r.Run] = true
+			d.ports.Observer.Stopping(Stop{Run: r.Run, Worker: w.id, Reason: StopRefused})
 			d.dropPermit(w, r.Run.Task)
 			w.health.recordFailure(w.lastHeard)
 		}
--- a/core/command/hsdispatch/zone.go
+++ b/core/command/hsdispatch/zone.go
@@ -33,8 +33,7 @@
 	}
 	for _, p := range d.placedOn(id) {
 		if _, began := d.runningSince[p.run]; !began && !d.stopping[p.run] && !d.proposedEnds[p.run] {
-			d.ports.Observer.Relocated(p.run, id)
-			d.stopRun(p)
+			d.stopRun(p, StopEvacuated, "")
 		}
 	}
 }
--- a/internal/play/control.go
+++ b/internal/play/control.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hyssopseam/core/command/hscontrol"
+	"hyssopseam/core/command/hsdispatch"
 	"hyssopseam/core/command/hsquorum"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
@@ -190,14 +191,8 @@
 // RunEnded does nothing.
 func (noopObserver) RunEnded(*hswork.End, hsid.InstanceID) {}
 
-// Preempted does nothing.
-func (noopObserver) Preempted(hswork.RunID, hsid.InstanceID, hswork.ID) {}
-
-// Stalled does nothing.
-func (noopObserver) Stalled(hswork.RunID, hsid.InstanceID) {}
-
-// Relocated does nothing.
-func (noopObserver) Relocated(hswork.RunID, hsid.InstanceID) {}
+// Stopping does nothing.
+func (noopObserver) Stopping(hsdispatch.Stop) {}
 
 // WorkerChanged does nothing.
 func (noopObserver) WorkerChanged(hsid.InstanceID, hsmessage.Endpoint, bool) {}
--- a/io/hsdecision/recorder.go
+++ b/io/hsdecision/recorder.go
@@ -18,6 +18,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"hyssopseam/core/command/hsdispatch"
 	"hyssopseam/core/command/hsrunner"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
@@ -31,6 +32,7 @@
 	startWaits    prometheus.Histogram
 	runsEnded     *prometheus.CounterVec
 	preempted     prometheus.Counter
+	stopped       *prometheus.CounterVec
 	endpointCalls *prometheus.CounterVec
 }
 
@@ -47,9 +49,10 @@
 		}),
 		runsEnded:     counter("work_runs_ended_total", "Runs ended, by how they ended.", "how"),
 		preempted:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: "hyssopseam", Name: "work_preempted_total", Help: "Runs preempted by other jobs."}),
+		stopped:       counter("work_runs_stopped_total", "Runs that the leader decided to stop, by reason.", "reason"),
 		endpointCalls: counter("work_endpoint_calls_total", "Calls to the endpoint, by kind and verdict.", "kind", "verdict"),
 	}
-	r.MustRegister(rc.requests, rc.startWaits, rc.runsEnded, rc.preempted, rc.endpointCalls)
+	r.MustRegister(rc.requests, rc.startWaits, rc.runsEnded, rc.preempted, rc.stopped, rc.endpointCalls)
 	return rc
 }
 
@@ -116,20 +119,15 @@
 	rc.log.Info("run ended", "run", e.Run, "how", e.Kind, "worker", worker, "checkpoint", e.Checkpoint)
 }
 
-// Preempted records that a run is preempted in favour of another job.
-func (rc *Recorder) Preempted(run hswork.RunID, worker hsid.InstanceID, by hswork.ID) {
-	rc.preempted.Inc()
-	rc.log.Info("run gives way", "run", run, "worker", worker, "for", by)
-}
-
-// Stalled records that a run is stopped because it made no progress.
-func (rc *Recorder) Stalled(run hswork.RunID, worker hsid.InstanceID) {
-	rc.log.Warn("run makes no progress", "run", run, "worker", worker)
-}
-
-// Relocated records that a run is stopped because its worker leaves or its endpoint is drained.
-func (rc *Recorder) Relocated(run hswork.RunID, worker hsid.InstanceID) {
-	rc.log.Info("run is moved off its worker", "run", run, "worker", worker)
+// Stopping records the decision to stop a run.
+func (rc *Recorder) Stopping(s hsdispatch.Stop) {
+	rc.stopped.WithLabelValues(string(s.Reason)).Inc()
+	attrs := []any{"run", s.Run, "worker", s.Worker, "reason", s.Reason, "ran", s.Ran}
+	if s.For != "" {
+		rc.preempted.Inc()
+		attrs = append(attrs, "for", s.For)
+	}
+	rc.log.Info("run is stopped", attrs...)
 }
 
 // WorkerChanged records that a worker became usable or stopped being usable.
--- a/io/query/hstrace/trace.go
+++ b/io/query/hstrace/trace.go
@@ -101,12 +101,16 @@
 			}
 		case "run ended":
 			s.Ends[l.Get("how")]++
-		case "run gives way":
-			if strings.HasPrefix(l.Get("run"), id+".") {
+		case "run is stopped":
+			if !strings.HasPrefix(l.Get("run"), id+".") {
+				continue
+			}
+			switch l.Get("reason") {
+			case "guarantee", "priority":
 				s.Preempted++
+			case "stalled":
+				s.Stalled++
 			}
-		case "run makes no progress":
-			s.Stalled++
 		}
 	}
 	return s
@@ -119,6 +123,6 @@
 		ends = append(ends, fmt.Sprintf("%d %s", n, how))
 	}
 	slices.Sort(ends)
-	return fmt.Sprintf("decided: %s; %d starts, longest wait %s; ends: %s; %d gave way, %d stalled",
+	return fmt.Sprintf("decided: %s; %d starts, longest wait %s; ends: %s; %d preempted, %d stalled",
 		strings.Join(s.Decisions, ", "), s.Starts, s.Waited, strings.Join(ends, ", "), s.Preempted, s.Stalled)
 }
--- a/io/query/hstrace/trace_test.go
+++ b/io/query/hstrace/trace_test.go
@@ -14,7 +14,7 @@
 	"core-1": `
 time=2026-05-04T10:00:00.000Z level=INFO msg="app: process started" instance=core-1
 time=2026-05-04T10:01:00.000Z level=INFO msg="work: request decided" request=e.1.7 action=submit path=/p/0123456789abcdef verdict=done catalog=3
-time=2026-05-04T10:01:00.200Z level=INFO msg="work: run gives way" run=00000000000000aa.0.0.0/1 worker=w1 for=0123456789abcdef
+time=2026-05-04T10:01:00.200Z level=INFO msg="work: run is stopped" run=00000000000000aa.0.0.0/1 worker=w1 reason=priority ran=1s for=0123456789abcdef
 time=2026-05-04T10:01:00.500Z level=INFO msg="work: task placed" run=0123456789abcdef.0.0.0/1 worker=w1 life=1 waited=500ms
 time=2026-05-04T10:01:02.000Z level=INFO msg="work: worker changed" worker=w2 usable=false
 time=2026-05-04T10:01:03.000Z level=INFO msg="work: run ended" run=0123456789abcdef.0.0.0/1 how=lost worker=w1 checkpoint=""
@@ -49,7 +49,7 @@
 		want []string
 	}{
 		{"a job, with the end of its endpoint", job, []string{
-			"request decided", "run gives way", "task placed", "start answered", "endpoint is over", "run ended", "task placed", "run ended",
+			"request decided", "run is stopped", "task placed", "start answered", "endpoint is over", "run ended", "task placed", "run ended",
 		}},
 		{"a request", "e.1.7", []string{"request decided"}},
 		{"an unknown identifier", "ffffffffffffffff", nil},
@@ -68,7 +68,7 @@
 
 func TestSummarize(t *testing.T) {
 	got := hstrace.Summarize(job, hstrace.Filter(job, lines(t))).String()
-	want := "decided: submit done; 2 starts, longest wait 500ms; ends: 1 done, 1 lost; 0 gave way, 0 stalled"
+	want := "decided: submit done; 2 starts, longest wait 500ms; ends: 1 done, 1 lost; 0 preempted, 0 stalled"
 	if got != want {
 		t.Errorf("got %q, want %q", got, want)
 	}
