hsdispatch: the index of placed runs follows each command

Cause: the index was rebuilt from the whole state after every command, which took most of the time of a pass on a busy fleet. It now changes with each start and end; lookups of offers and of placed runs are no longer linear, and the timeliness of a step is worked out once for all of its tasks.

--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -107,10 +107,8 @@
 	leadingSince time.Time
 
 	workers map[hsid.InstanceID]*worker
-	// placedByWorker indexes the runs not yet proved to have ended. It is rebuilt when placedOutdated is set, which
-	// every change of the state does.
-	placedByWorker map[hsid.InstanceID][]placedRun
-	placedOutdated bool
+	// placed indexes the runs that aren't proved to have ended.
+	placed *placedIndex
 	// proposedEnds holds the runs whose end was proposed and isn't applied yet.
 	proposedEnds map[hswork.RunID]bool
 	// proposedStarts holds the starts that were proposed and aren't applied yet, by their first task.
@@ -151,7 +149,7 @@
 		term:           term,
 		leadingSince:   p.Clock.Now(),
 		workers:        map[hsid.InstanceID]*worker{},
-		placedOutdated: true,
+		placed:         newPlacedIndex(s),
 		proposedEnds:   map[hswork.RunID]bool{},
 		proposedStarts: map[hswork.TaskID]*hswork.Start{},
 		stopping:       map[hswork.RunID]bool{},
@@ -176,7 +174,7 @@
 // Applied updates the dispatcher after a command was applied to the replicated state.
 func (d *Dispatcher) Applied(c *hswork.Command) {
 	d.passDue = true
-	d.placedOutdated = true
+	d.placed.applied(d.state, c)
 	switch {
 	case c.Start != nil:
 		delete(d.proposedStarts, c.Start.Members[0].Task)
--- a/core/command/hsdispatch/offer.go
+++ b/core/command/hsdispatch/offer.go
@@ -1,8 +1,8 @@
 package hsdispatch
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"hyssopseam/core/hsid"
@@ -35,7 +35,7 @@
 	for _, o := range offers {
 		d.totalCores += equivalentCores(o.total)
 	}
-	slices.SortFunc(offers, func(a, b *offer) int { return strings.Compare(string(a.worker.id), string(b.worker.id)) })
+	slices.SortFunc(offers, func(a, b *offer) int { return cmp.Compare(a.worker.id, b.worker.id) })
 	subtract := func(m hswork.Member) {
 		if o := offerFrom(offers, m.Worker); o != nil {
 			o.free = o.free.Minus(need(&d.state.Jobs[m.Task.Job].Steps[m.Task.Step]))
@@ -58,28 +58,25 @@
 // being placed.
 func (d *Dispatcher) usedOn(w *worker) hswork.Resources {
 	var used hswork.Resources
-	runs := d.placedOn(w.id)
-	for _, p := range runs {
+	for _, p := range d.placedOn(w.id) {
 		used = used.Plus(need(p.step))
 	}
 	for _, r := range w.report.Running {
 		j := d.state.Jobs[r.Run.Task.Job]
-		stray := !slices.ContainsFunc(runs, func(p placedRun) bool { return p.run == r.Run })
-		if stray && j != nil && r.Run.Task.Step < len(j.Steps) {
+		if d.placed.workerOf[r.Run] != w.id && j != nil && r.Run.Task.Step < len(j.Steps) {
 			used = used.Plus(need(&j.Steps[r.Run.Task.Step]))
 		}
 	}
 	return used
 }
 
-// offerFrom returns the offer of a worker, or nil.
+// offerFrom returns the offer of a worker, or nil. The offers must be in the order of the worker ids.
 func offerFrom(offers []*offer, id hsid.InstanceID) *offer {
-	for _, o := range offers {
-		if o.worker.id == id {
-			return o
-		}
+	i, ok := slices.BinarySearchFunc(offers, id, func(o *offer, id hsid.InstanceID) int { return cmp.Compare(o.worker.id, id) })
+	if !ok {
+		return nil
 	}
-	return nil
+	return offers[i]
 }
 
 // suits reports whether a worker can run tasks of a step when idle: it is in the pool and has the label and the
--- a/core/command/hsdispatch/unit.go
+++ b/core/command/hsdispatch/unit.go
@@ -42,6 +42,7 @@
 			}
 		}
 	}
+	var previous *unit
 	for _, u := range units {
 		u.covered = d.coveredJobs[u.job.ID]
 		u.readySince = now
@@ -49,7 +50,12 @@
 			u.readySince = since
 		}
 		readySince[u.key()] = u.readySince
-		d.updateTimeliness(u, now)
+		if previous != nil && previous.step == u.step && previous.key().Occurrence == u.key().Occurrence {
+			u.timeliness, u.slack = previous.timeliness, previous.slack
+		} else {
+			d.updateTimeliness(u, now)
+		}
+		previous = u
 	}
 	d.readySince = readySince
 	slices.SortStableFunc(units, compareUnits)
--- a/core/command/hsdispatch/worker.go
+++ b/core/command/hsdispatch/worker.go
@@ -28,15 +28,6 @@
 	epoch uint64
 }
 
-// placedRun is a run that isn't proved to have ended.
-type placedRun struct {
-	run        hswork.RunID
-	job        *hswork.Job
-	step       *hswork.Step
-	task       *hswork.Task
-	assignment hswork.Assignment
-}
-
 // need returns the resources that a task of a step reserves on its worker. A best-effort step reserves no cores: its
 // tasks use those that others leave idle.
 func need(s *hswork.Step) hswork.Resources {
@@ -179,39 +170,3 @@
 	}
 	return w.acked != before
 }
-
-// rebuildPlaced rebuilds the index of the placed runs if it is outdated.
-func (d *Dispatcher) rebuildPlaced() {
-	if !d.placedOutdated {
-		return
-	}
-	d.placedOutdated = false
-	d.placedByWorker = map[hsid.InstanceID][]placedRun{}
-	for _, j := range d.state.Jobs {
-		j.EachAssignment(func(id hswork.TaskID, t *hswork.Task, a hswork.Assignment) {
-			run := hswork.RunID{Task: id, Number: a.Number}
-			entry := placedRun{run: run, job: j, step: &j.Steps[id.Step], task: t, assignment: a}
-			d.placedByWorker[a.Worker] = append(d.placedByWorker[a.Worker], entry)
-		})
-	}
-	for _, runs := range d.placedByWorker {
-		slices.SortFunc(runs, func(a, b placedRun) int { return hswork.CompareRuns(a.run, b.run) })
-	}
-}
-
-// placedOn returns the placed runs of a worker, ordered by hswork.CompareRuns. The caller must not modify them.
-func (d *Dispatcher) placedOn(id hsid.InstanceID) []placedRun {
-	d.rebuildPlaced()
-	return d.placedByWorker[id]
-}
-
-// workersWithRuns returns the workers with placed runs, in the order of their ids.
-func (d *Dispatcher) workersWithRuns() []hsid.InstanceID {
-	d.rebuildPlaced()
-	ids := make([]hsid.InstanceID, 0, len(d.placedByWorker))
-	for id := range d.placedByWorker {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
