hsdispatch: passes take at most a quarter of the leader's time

Cause: every commit brought a scheduling pass, so a burst kept the leader from reports, requests and heartbeats. A pass now puts off the next one by three times its duration, at most by the interval of periodic passes, and Control.NextWake tells when it is due.

--- a/core/command/hscontrol/control.go
+++ b/core/command/hscontrol/control.go
@@ -110,7 +110,12 @@
 func (c *Control) NextWake() time.Time {
 	next := c.replica.NextWake()
 	if at, ok := c.nextJoinRequestAt(); ok && at.Before(next) {
-		return at
+		next = at
+	}
+	if c.Leading() {
+		if at, due := c.leader.dispatcher.NextPass(); due && at.Before(next) {
+			next = at
+		}
 	}
 	return next
 }
--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -22,6 +22,8 @@
 	// passInterval is the time between two scheduling passes without other events. It is the resolution of due times
 	// and timeouts.
 	passInterval = 100 * time.Millisecond
+	// passPauseFactor is the pause after a pass relative to its duration: passes take at most a quarter of the time.
+	passPauseFactor = 3
 	// leaseMargin is added to a lease to cover the network delay of the last message that renewed it.
 	leaseMargin = 100 * time.Millisecond
 	// silenceTimeout is how long a runner may be silent before its worker gets no new runs: three times its
@@ -138,6 +140,8 @@
 	controls []hsstate.Peer
 	passDue  bool
 	lastPass time.Time
+	// nextPass is the earliest time of the next pass.
+	nextPass time.Time
 }
 
 // New returns the dispatcher for a leadership that begins now, in the given term.
@@ -231,20 +235,30 @@
 	}
 }
 
-// Flush runs a scheduling pass if one is due, and sends the plans that are due. The pass ends lost runs, stops runs
+// Flush runs a scheduling pass if one is due and not put off, and sends the plans that are due. The pass ends lost runs, stops runs
 // that should move to other workers, and starts waiting units.
 func (d *Dispatcher) Flush() {
-	if d.passDue {
-		d.passDue = false
-		d.lastPass = d.ports.Clock.Now()
-		d.endLostRuns(d.lastPass)
-		d.relocateRuns(d.lastPass)
-		d.stopUnstarted()
-		d.schedule(d.lastPass)
+	if d.passDue && !d.ports.Clock.Now().Before(d.nextPass) {
+		d.pass()
 	}
 	d.sendPlans()
 }
 
+// pass runs one scheduling pass, and puts off the next one so that passes leave most of the time to other inputs.
+func (d *Dispatcher) pass() {
+	d.passDue = false
+	d.lastPass = d.ports.Clock.Now()
+	d.endLostRuns(d.lastPass)
+	d.relocateRuns(d.lastPass)
+	d.stopUnstarted()
+	d.schedule(d.lastPass)
+	ended := d.ports.Clock.Now()
+	d.nextPass = ended.Add(min(passPauseFactor*ended.Sub(d.lastPass), passInterval))
+}
+
+// NextPass returns when Flush runs the next pass if one is due, and false if none is.
+func (d *Dispatcher) NextPass() (time.Time, bool) { return d.nextPass, d.passDue }
+
 // proposeEnds proposes the ends of runs of a worker and records them as proposed. A run that is given up raises the
 // fence of the worker, so that a start that is still under way can't begin under a later lease. It does nothing if
 // leadership was lost.
--- a/core/command/hsdispatch/harness_test.go
+++ b/core/command/hsdispatch/harness_test.go
@@ -23,13 +23,18 @@
 	dispatcher *hsdispatch.Dispatcher
 	proposed   []*hswork.Command
 	stops      []hsdispatch.Stop
-	plans      map[hsid.InstanceID]hsmessage.Plan
-	reports    map[hsid.InstanceID]*hsmessage.RunnerReport
+	// tick is how much time passes with each reading of the clock.
+	tick    time.Duration
+	plans   map[hsid.InstanceID]hsmessage.Plan
+	reports map[hsid.InstanceID]*hsmessage.RunnerReport
 	// adviser is the adviser of the next leadership; it may be nil.
 	adviser hsdispatch.Adviser
 }
 
-func (h *harness) Now() time.Time { return h.now }
+func (h *harness) Now() time.Time {
+	h.now = h.now.Add(h.tick)
+	return h.now
+}
 
 func (h *harness) Send(to hsstate.Peer, m hsmessage.Message) {
 	if p, ok := m.(hsmessage.Plan); ok {
