hsdispatch: a suspect worker is probed with one task at a time

Cause: a worker that fails all it starts is always free, and was the last resort on a fleet where nothing else was. After two failures in a row a worker now gets single tasks as probes after growing pauses; a task whose next failure fails its job avoids every worker with a recent failure. Failures of a step that fails on several workers and completes nothing are the job's and don't count. Covered jobs, and others while the fleet is idle, use such workers as a last resort, as users count a job as lost that doesn't run on an idle fleet.

TestHealth named a suspect worker the last resort on a busy fleet. That was wrong, it feeds such a worker every waiting job; the row now wants the task to wait, with rows beside it for the probe, its pauses, covered jobs and an idle fleet. TestHealth, TestLastAttempt and TestJobAtFault fail without the change.

--- a/core/command/hsdispatch/claim.go
+++ b/core/command/hsdispatch/claim.go
@@ -98,7 +98,7 @@
 	for _, p := range pre.victims {
 		d.stopRun(p.placedRun, reason, u.job.ID)
 	}
-	deduct(u, members, offers)
+	d.deduct(u, members, offers)
 	d.claims[u.key()] = &claim{members: members, createdAt: now}
 	return true
 }
--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -127,10 +127,14 @@
 	startedJobs map[hswork.ID]bool
 	// progress is the last reported progress of each running task.
 	progress map[hswork.RunID]progress
+	// failedOn holds the workers on which tasks of a step failed.
+	failedOn map[StepID]map[hsid.InstanceID]bool
 	// coveredJobs holds the open jobs covered by the guarantee of their workspace, as of the last pass.
 	coveredJobs map[hswork.ID]bool
 	// totalCores is the capacity of all workers that accept new runs, with accelerators converted into cores.
 	totalCores float64
+	// load is that of the same workers, as of the last pass.
+	load load
 
 	permits  map[StepID]*stepPermits
 	restarts map[hswork.TaskID]restart
@@ -162,6 +166,7 @@
 		runningSince:   map[hswork.RunID]time.Time{},
 		startedJobs:    map[hswork.ID]bool{},
 		progress:       map[hswork.RunID]progress{},
+		failedOn:       map[StepID]map[hsid.InstanceID]bool{},
 		permits:        map[StepID]*stepPermits{},
 		restarts:       map[hswork.TaskID]restart{},
 		drainingUntil:  map[hswork.EndpointID]time.Time{},
@@ -204,6 +209,7 @@
 		d.requestPlansForJob(run.Task.Job)
 	}
 	d.dropUnusedPermits()
+	d.dropFailures()
 	for id, w := range d.workers {
 		if d.advanceAck(w) {
 			d.requestPlan(id)
--- a/core/command/hsdispatch/health_test.go
+++ b/core/command/hsdispatch/health_test.go
@@ -4,52 +4,139 @@
 	"testing"
 	"time"
 
+	"hyssopseam/core/hsid"
 	"hyssopseam/core/hswork"
 )
 
-// TestHealth checks that a worker on which runs fail is used last, until its failures expire.
+// failRuns lets runs of jobs of their own fail one after another on worker a, waiting for each to be placed there.
+func failRuns(h *harness, first, count int) {
+	for n := first; n < first+count; n++ {
+		job := h.submit(n, 1, "w2", step(1, 1000, 1))
+		for range 100 {
+			if len(h.assignments(job)) > 0 {
+				break
+			}
+			h.advance(100 * time.Millisecond)
+		}
+		h.applyPlan("a")
+		h.listEnd("a", hswork.RunID{Task: taskID(job, 0), Number: 1}, hswork.EndFailed, "")
+		h.report("a")
+		h.apply(&hswork.Command{Cancel: &hswork.Cancel{ID: job}})
+		h.commit()
+	}
+}
+
+// TestHealth checks how a worker on which runs fail is used. Pattern: a worker that fails all that it starts is always
+// free, and on a busy fleet it would use up the attempts of every job that waits for capacity.
 func TestHealth(t *testing.T) {
 	tables := []struct {
-		name string
-		// failures is the number of consecutive failed runs on worker a, and done whether one completed after them.
+		name     string
 		failures int
-		done     bool
-		// full is set if worker b has no free capacity, and wait is the time since the last failure.
-		full bool
-		wait time.Duration
-		want string
+		// busy is set if the other worker has no free capacity, and wait is the time since the last failure.
+		busy      bool
+		wait      time.Duration
+		priority  int
+		workspace hsid.WorkspaceID
+		step      hswork.Step
+		want      []string
 	}{
-		{"no failure", 0, false, false, 0, "a/1"},
-		{"one failure", 1, false, false, 0, "b/1"},
-		{"consecutive failures", 4, false, false, 0, "b/1"},
-		{"consecutive failures and no capacity elsewhere", 4, false, true, 0, "a/1"},
-		{"a success after them", 4, true, false, 0, "a/1"},
-		{"failures that have expired", 4, false, false, 16 * time.Second, "a/1"},
+		{"no failure", 0, false, 0, 1, "w2", step(1, 1000, 1), []string{"a/1"}},
+		{"one failure", 1, false, 0, 1, "w2", step(1, 1000, 1), []string{"b/1"}},
+		{"one failure and no capacity elsewhere", 1, true, 0, 1, "w2", step(1, 1000, 1), []string{"a/1"}},
+		{"consecutive failures", 4, false, 0, 1, "w2", step(1, 1000, 1), []string{"b/1"}},
+		{"consecutive failures and no capacity elsewhere", 4, true, 0, 1, "w2", step(1, 1000, 1), nil},
+		{"one task at a time as a probe", 2, true, 1100 * time.Millisecond, 1, "w2", step(3, 1000, 1), []string{"a/1"}},
+		{"no probe before a longer pause after more failures", 4, true, 3900 * time.Millisecond, 1, "w2", step(1, 1000, 1), nil},
+		{"a probe after it", 4, true, 4100 * time.Millisecond, 1, "w2", step(1, 1000, 1), []string{"a/1"}},
+		{"no gang as a probe", 2, true, 3 * time.Second, 1, "w2", with(step(2, 1000, 1), func(s *hswork.Step) { s.Gang = true }), nil},
+		{"a job that a guarantee covers", 4, true, 0, 0, "w1", step(1, 1000, 1), []string{"a/1"}},
+		{"failures that have expired", 4, false, 16 * time.Second, 1, "w2", step(1, 1000, 1), []string{"a/1"}},
 	}
 	for _, tt := range tables {
 		h := newHarness(t)
 		h.addWorker("a", "r1-1")
-		run := func(n int, kind hswork.EndKind) {
-			job := h.submit(n, 1, "w2", step(1, 1000, 1))
-			h.applyPlan("a")
-			h.listEnd("a", hswork.RunID{Task: taskID(job, 0), Number: 1}, kind, "")
-			h.report("a")
-			h.apply(&hswork.Command{Cancel: &hswork.Cancel{ID: job}})
-			h.commit()
+		failRuns(h, 1, tt.failures)
+		h.addWorker("b", "r1-1")
+		if tt.busy {
+			h.submit(60, 0, "w2", step(1, 32000, 8))
+			h.applyPlan("b")
 		}
-		for i := range tt.failures {
-			run(1+i, hswork.EndFailed)
+		h.advance(tt.wait)
+		job := h.submit(70, tt.priority, tt.workspace, tt.step)
+		h.assertEqual(tt.name, h.assignments(job), tt.want)
+	}
+}
+
+// TestSuspectWorkerOfIdleFleet checks that a job doesn't wait for a healthy worker for long while much of the fleet is
+// idle, and that a completed run ends the suspicion.
+func TestSuspectWorkerOfIdleFleet(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a", "r1-1")
+	failRuns(h, 1, 4)
+	job := h.submit(70, 1, "w2", step(1, 1000, 1))
+	h.assertEqual("at once", len(h.assignments(job)), 0)
+	h.advance(2200 * time.Millisecond)
+	h.assertEqual("after a while", h.assignments(job), []string{"a/1"})
+	h.applyPlan("a")
+	h.listEnd("a", hswork.RunID{Task: taskID(job, 0), Number: 1}, hswork.EndDone, "")
+	h.report("a")
+	h.commit()
+	next := h.submit(71, 1, "w2", step(2, 1000, 1))
+	h.assertEqual("after a completed run", h.assignments(next), []string{"a/1", "a/1"})
+}
+
+// TestLastAttempt checks that a task whose next failure makes its job fail isn't started on a worker where a run of
+// another job has failed, and waits for another one while the fleet is busy.
+func TestLastAttempt(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a", "r1-1")
+	job := h.submit(1, 1, "w2", step(1, 1000, 1))
+	h.applyPlan("a")
+	h.addWorker("b", "r1-1")
+	busy := h.submit(60, 1, "w2", step(1, 32000, 8))
+	h.assertEqual("busy", h.assignments(busy), []string{"b/1"})
+	h.applyPlan("b")
+	h.listEnd("a", hswork.RunID{Task: taskID(job, 0), Number: 1}, hswork.EndFailed, "")
+	h.report("a")
+	h.commit()
+	h.assertEqual("while the other worker is busy", len(h.assignments(job)), 0)
+	h.listEnd("b", hswork.RunID{Task: taskID(busy, 0), Number: 1}, hswork.EndDone, "")
+	h.report("b")
+	h.commit()
+	h.assertEqual("once it is free", h.assignments(job), []string{"b/2"})
+}
+
+// TestJobAtFault checks that the failures of a job that fails on several workers and completes nothing don't make those
+// workers suspect.
+func TestJobAtFault(t *testing.T) {
+	tables := []struct {
+		name string
+		// done is set if one of the job's tasks completed.
+		done bool
+		want int
+	}{
+		{"nothing completed", false, 0},
+		{"one task completed", true, 1},
+	}
+	for _, tt := range tables {
+		h := newHarness(t)
+		h.addWorker("a", "r1-1")
+		job := h.submit(1, 1, "w2", step(9, 4000, 1))
+		h.applyPlan("a")
+		h.addWorker("b", "r1-1")
+		h.commit()
+		h.applyPlan("b")
+		fail := func(worker string, index int, kind hswork.EndKind) {
+			h.listEnd(worker, hswork.RunID{Task: taskID(job, index), Number: 1}, kind, "")
+			h.report(worker)
+			h.commit()
 		}
 		if tt.done {
-			run(50, hswork.EndDone)
-		}
-		h.addWorker("b", "r1-1")
-		if tt.full {
-			h.submit(60, 0, "w2", step(1, 1000, 8))
+			fail("a", 7, hswork.EndDone)
 		}
-		h.advance(tt.wait)
-		job := h.submit(70, 1, "w2", step(1, 1000, 1))
-		h.assertEqual(tt.name, h.assignments(job), []string{tt.want})
+		fail("a", 0, hswork.EndFailed)
+		fail("b", 8, hswork.EndFailed)
+		h.assertEqual(tt.name, h.dispatcher.Failures("b"), tt.want)
 	}
 }
 
--- a/core/command/hsdispatch/offer.go
+++ b/core/command/hsdispatch/offer.go
@@ -21,7 +21,8 @@
 }
 
 // offers returns the offers of the workers of all pools that accept new runs and aren't evacuated, in the order of the worker ids.
-// Capacity that placed, stray, proposed and claimed runs use isn't free. It updates totalCores.
+// Capacity that placed, stray, proposed and claimed runs use isn't free. It updates totalCores and
+// load.
 func (d *Dispatcher) offers(now time.Time) []*offer {
 	var offers []*offer
 	for _, w := range d.workers {
@@ -32,9 +33,13 @@
 		}
 	}
 	d.totalCores = 0
+	var total, free hswork.Resources
 	for _, o := range offers {
 		d.totalCores += equivalentCores(o.total)
+		total = total.Plus(o.total)
+		free = free.Plus(o.free)
 	}
+	d.load = newLoad(total, free)
 	slices.SortFunc(offers, func(a, b *offer) int { return cmp.Compare(a.worker.id, b.worker.id) })
 	subtract := func(m hswork.Member) {
 		if o := offerFrom(offers, m.Worker); o != nil {
--- a/core/command/hsdispatch/place.go
+++ b/core/command/hsdispatch/place.go
@@ -27,7 +27,7 @@
 	if members == nil {
 		return nil
 	}
-	return deduct(u, members, offers)
+	return d.deduct(u, members, offers)
 }
 
 // assignLocal assigns the tasks of a unit to workers where they run at full speed: on one of its local racks, or
@@ -155,7 +155,8 @@
 	return members, total
 }
 
-// isEligible reports whether a unit may be placed on a worker that has the capacity.
+// isEligible reports whether a unit may be placed on a worker that has the capacity: it suits the unit, has a valid ticket
+// where that is needed, and isn't avoided.
 func (d *Dispatcher) isEligible(u *unit, o *offer, rack hswork.Label) bool {
 	if rack != "" && o.rack != rack || !o.suits(u.job.Pool, u.step) {
 		return false
@@ -163,7 +164,7 @@
 	if _, ok := d.validTicket(u, o); !ok {
 		return false
 	}
-	return true
+	return !d.avoids(u, o)
 }
 
 // mayBackfill reports whether a reservation on a worker allows another task of a unit there, beside those that left
@@ -241,11 +242,15 @@
 	return counts
 }
 
-// deduct subtracts the needs of a unit from the offers of its workers, and returns the members unchanged.
-func deduct(u *unit, members []hswork.Member, offers []*offer) []hswork.Member {
+// deduct subtracts the needs of a unit from the offers of its workers, records the placement as a probe of those that are
+// suspect, and returns the members unchanged.
+func (d *Dispatcher) deduct(u *unit, members []hswork.Member, offers []*offer) []hswork.Member {
 	for _, m := range members {
 		o := offerFrom(offers, m.Worker)
 		o.free = o.free.Minus(need(u.step))
+		if o.worker.health.suspect() {
+			o.worker.health.lastProbe = d.lastPass
+		}
 		if o.reserved != nil {
 			o.reserved.spare = o.reserved.spare.Minus(need(u.step))
 		}
--- a/core/command/hsdispatch/schedule.go
+++ b/core/command/hsdispatch/schedule.go
@@ -33,7 +33,7 @@
 		offRack := d.mayRunOffRack(u, wait, now)
 		if offRack {
 			if members := d.assign(u, offers, "", fits); members != nil {
-				d.start(u, deduct(u, members, offers), now)
+				d.start(u, d.deduct(u, members, offers), now)
 				continue
 			}
 		}
--- a/core/command/hsdispatch/unit.go
+++ b/core/command/hsdispatch/unit.go
@@ -27,6 +27,16 @@
 // key returns the first task, which identifies the unit.
 func (u *unit) key() hswork.TaskID { return u.tasks[0] }
 
+// lastAttempt reports whether another failure makes the job fail. It is false for a job that may fail only once, which
+// has no attempt to spare from the beginning.
+func (u *unit) lastAttempt() bool {
+	failed := 0
+	for _, t := range u.tasks {
+		failed = max(failed, len(u.job.Task(t).Failed))
+	}
+	return failed > 0 && failed+1 >= u.job.MaxAttempts
+}
+
 // readyUnits returns the units that are ready to start, in scheduling order.
 func (d *Dispatcher) readyUnits(now time.Time) []*unit {
 	var units []*unit
--- a/core/command/hsdispatch/worker.go
+++ b/core/command/hsdispatch/worker.go
@@ -94,7 +94,7 @@
 	}
 	for _, e := range report.Ended {
 		if d.isRelevant(w, e) && !d.proposedEnds[e.Run] {
-			w.health.recordEnd(e.Kind, w.lastHeard)
+			d.recordEnd(w, e.Run, e.Kind)
 			add(hswork.End{Run: e.Run, Kind: e.Kind, Checkpoint: e.Checkpoint, Took: d.runTime(e, w.lastHeard)})
 		}
 	}
