hsdispatch: capacity that urgent runs used is kept from work that would be lost

Capacity that runs of priority 0 used in the last 4 to 8 s is now kept from tasks that don't save checkpoints and can wait, but not on an idle fleet.

--- a/core/command/hsdispatch/offer.go
+++ b/core/command/hsdispatch/offer.go
@@ -16,6 +16,8 @@
 	total  hswork.Resources
 	// free may be negative while preempted runs still hold claimed capacity.
 	free hswork.Resources
+	// headroom is the part of free that is kept for units of priority 0 and others that lose no work.
+	headroom hswork.Resources
 	// reserved is set if capacity is reserved for a waiting unit.
 	reserved *reservation
 }
@@ -29,7 +31,11 @@
 		if acceptsRuns(&w.report) && now.Sub(w.lastHeard) < silenceTimeout && !d.isDraining(w.report.Endpoint.ID, now) && !d.isEvacuated(w) {
 			w.health.expireFailures(now)
 			e := &w.report.Endpoint
-			offers = append(offers, &offer{worker: w, rack: e.Rack, total: e.Capacity, free: e.Capacity.Minus(d.usedOn(w))})
+			urgent := d.urgentUseOn(w)
+			w.urgent.observe(urgent, now)
+			offers = append(offers, &offer{
+				worker: w, rack: e.Rack, total: e.Capacity, free: e.Capacity.Minus(d.usedOn(w)), headroom: w.urgent.headroom(urgent),
+			})
 		}
 	}
 	d.totalCores = 0
@@ -75,6 +81,17 @@
 	return used
 }
 
+// urgentUseOn returns the resources that the placed runs of priority 0 use on a worker.
+func (d *Dispatcher) urgentUseOn(w *worker) hswork.Resources {
+	var used hswork.Resources
+	for _, p := range d.placedOn(w.id) {
+		if p.job.Priority == 0 {
+			used = used.Plus(need(p.step))
+		}
+	}
+	return used
+}
+
 // offerFrom returns the offer of a worker, or nil. The offers must be in the order of the worker ids.
 func offerFrom(offers []*offer, id hsid.InstanceID) *offer {
 	i, ok := slices.BinarySearchFunc(offers, id, func(o *offer, id hsid.InstanceID) int { return cmp.Compare(o.worker.id, id) })
--- a/core/command/hsdispatch/place.go
+++ b/core/command/hsdispatch/place.go
@@ -95,7 +95,7 @@
 // fits is the fitFunc for free capacity. It prefers the worker with the least capacity left over (best fit).
 func fits(u *unit, o *offer, left hswork.Resources) (float64, bool) {
 	n := need(u.step)
-	if !left.Holds(n) {
+	if !left.Holds(n) || !u.usesHeadroom && !left.Minus(o.headroom).Holds(n) {
 		return 0, false
 	}
 	cost := freeShare(o, left.Minus(n))
--- a/core/command/hsdispatch/unit.go
+++ b/core/command/hsdispatch/unit.go
@@ -22,6 +22,8 @@
 	timeliness timeliness
 	// slack is how long the unit may still wait and be on time.
 	slack time.Duration
+	// usesHeadroom is set if the unit may be placed on the headroom of an offer.
+	usesHeadroom bool
 }
 
 // key returns the first task, which identifies the unit.
@@ -66,6 +68,7 @@
 			d.updateTimeliness(u, now)
 		}
 		previous = u
+		u.usesHeadroom = d.mayUseHeadroom(u)
 	}
 	d.readySince = readySince
 	slices.SortStableFunc(units, compareUnits)
--- a/core/command/hsdispatch/worker.go
+++ b/core/command/hsdispatch/worker.go
@@ -24,6 +24,7 @@
 	acked   hswork.EndNumber
 	planDue bool
 	health  health
+	urgent  urgentUse
 	// epoch is the part of the fence that rises when a run of the worker is given up.
 	epoch uint64
 }
--- a/core/hswork/job.go
+++ b/core/hswork/job.go
@@ -24,6 +24,11 @@
 	return Resources{Cores: r.Cores - o.Cores, Memory: r.Memory - o.Memory, Accelerators: r.Accelerators - o.Accelerators}
 }
 
+// Max returns the larger value of each resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{Cores: max(r.Cores, o.Cores), Memory: max(r.Memory, o.Memory), Accelerators: max(r.Accelerators, o.Accelerators)}
+}
+
 // Holds reports whether o fits into r.
 func (r Resources) Holds(o Resources) bool {
 	return r.Cores >= o.Cores && r.Memory >= o.Memory && r.Accelerators >= o.Accelerators
