--- a/core/command/hscatalog/check.go
+++ b/core/command/hscatalog/check.go
@@ -83,7 +83,7 @@
 	for i := range s.Steps {
 		p := &s.Steps[i]
 		n := p.Need
-		if p.Count < 1 || p.Count > maxTasks || n.Cores < 0 || n.Memory < 0 || n.Accelerators < 0 || p.Spread < 0 {
+		if p.Count < 1 || p.Count > maxTasks || n.Cores < 0 || n.Memory < 0 || n.Accelerators < 0 || p.Spread < 0 || p.MaxUnavailable < 0 {
 			return false
 		}
 		if slices.ContainsFunc(p.After, func(before int) bool { return before < 0 || before >= i }) {
--- a/core/command/hscatalog/check_test.go
+++ b/core/command/hscatalog/check_test.go
@@ -57,6 +57,7 @@
 		{"short identifier", "0123", hswork.Submission{Steps: []hswork.Step{one}}, false},
 		{"identifier with other letters", "0123456789abcdeg", hswork.Submission{Steps: []hswork.Step{one}}, false},
 		{"no steps", id, hswork.Submission{}, false},
+		{"negative number of unavailable tasks", id, hswork.Submission{Steps: []hswork.Step{{Count: 1, MaxUnavailable: -1}}}, false},
 		{"no tasks", id, hswork.Submission{Steps: []hswork.Step{{}}}, false},
 		{"after itself", id, hswork.Submission{Steps: []hswork.Step{{Count: 1, After: []int{0}}}}, false},
 		{"after a negative step", id, hswork.Submission{Steps: []hswork.Step{{Count: 1, After: []int{-1}}}}, false},
--- a/core/command/hsdispatch/loss_test.go
+++ b/core/command/hsdispatch/loss_test.go
@@ -226,3 +226,33 @@
 	h.commit()
 	h.assertEqual("checkpoint", h.state.Jobs[id].Task(taskID(id, 0)).Checkpoint, "saved")
 }
+
+// TestMalformedReport delivers reports that name tasks with impossible numbers, as a damaged or foreign message may. They
+// must not end the leader, and the job goes on.
+func TestMalformedReport(t *testing.T) {
+	tables := []struct {
+		name string
+		task hswork.TaskID
+	}{
+		{"negative step", hswork.TaskID{Job: jobID(1), Step: -1}},
+		{"unknown step", hswork.TaskID{Job: jobID(1), Step: 7}},
+		{"negative occurrence", hswork.TaskID{Job: jobID(1), Occurrence: -1}},
+		{"occurrence that isn't due", hswork.TaskID{Job: jobID(1), Occurrence: 9}},
+		{"negative task", hswork.TaskID{Job: jobID(1), Index: -1}},
+		{"unknown task", hswork.TaskID{Job: jobID(1), Index: 99}},
+		{"unknown job", hswork.TaskID{Job: "x"}},
+	}
+	for _, tt := range tables {
+		h := newHarness(t)
+		a := h.addWorker("a", "r1-1")
+		job := h.submit(1, 1, "w2", step(1, 1000, 8))
+		h.applyPlan("a")
+		run := hswork.RunID{Task: tt.task, Number: 1}
+		a.Running = append(a.Running, hsmessage.RunningTask{Run: run})
+		a.Ended = []hsmessage.EndedTask{{Number: 1, Run: run, Kind: hswork.EndFailed}}
+		a.NeverStarted = []hswork.RunID{run}
+		a.Refused = []hsmessage.RefusedRun{{Run: run, Reason: "room"}}
+		h.advance(300 * time.Millisecond)
+		h.assertEqual(tt.name, h.assignments(job), []string{"a/1"})
+	}
+}
--- a/core/command/hsdispatch/offer.go
+++ b/core/command/hsdispatch/offer.go
@@ -74,8 +74,11 @@
 	}
 	for _, r := range w.report.Running {
 		j := d.state.Jobs[r.Run.Task.Job]
-		if d.placed.workerOf[r.Run] != w.id && j != nil && r.Run.Task.Step < len(j.Steps) {
-			used = used.Plus(need(&j.Steps[r.Run.Task.Step]))
+		if d.placed.workerOf[r.Run] == w.id || j == nil {
+			continue
+		}
+		if s := j.Step(r.Run.Task); s != nil {
+			used = used.Plus(need(s))
 		}
 	}
 	return used
--- a/core/hswork/job.go
+++ b/core/hswork/job.go
@@ -213,9 +213,19 @@
 	return &j.Occurrences[k]
 }
 
-// Task returns the state of a task, or nil when the task doesn't exist or its occurrence isn't in Occurrences yet.
+// Step returns the step of a task, or nil when there is none.
+func (j *Job) Step(t TaskID) *Step {
+	if t.Step < 0 || t.Step >= len(j.Steps) {
+		return nil
+	}
+	return &j.Steps[t.Step]
+}
+
+// Task returns the state of a task, or nil when the task doesn't exist or its occurrence isn't in Occurrences yet. Any
+// numbers are allowed, as they may come from another process.
 func (j *Job) Task(t TaskID) *Task {
-	if t.Occurrence >= len(j.Occurrences) || t.Step >= len(j.Steps) || t.Index >= j.Steps[t.Step].Count {
+	s := j.Step(t)
+	if s == nil || t.Index < 0 || t.Index >= s.Count || t.Occurrence < 0 || t.Occurrence >= len(j.Occurrences) {
 		return nil
 	}
 	return &j.Occurrences[t.Occurrence].Steps[t.Step][t.Index]
