hsentry: a request that arrives while the leader's answer is late isn't sent

While an answer to the entry's renewal is late, a request about step jobs now waits unsent for 0.4 s at most and is refused as not run, with Retry-After; it is sent as soon as the leader answers. TestUnsentRequest fails without the change.

--- a/core/command/hsentry/entry.go
+++ b/core/command/hsentry/entry.go
@@ -3,7 +3,9 @@
 //
 // A request is resent with the same identifier until it is answered or its timeout expires; requests are idempotent,
 // so a resend has no further effect. After a timeout the answer is that the outcome is unknown, never that nothing
-// was done. Submissions need a valid rules lease: an entry that can't renew its lease refuses them as not run.
+// was done. Submissions need a valid rules lease: an entry that can't renew its lease refuses them as not run. A request
+// about step jobs that arrives while the leader's answer to a renewal is late waits briefly, unsent, and is then refused
+// too: had it been sent, its caller couldn't be told that it had no effect.
 //
 // An Entry persists nothing. It isn't safe for concurrent use; the control goroutine owns it.
 //
@@ -42,6 +44,9 @@
 	refusedRetryAfter = time.Second
 	// searchInterval is the time between two renewals sent to all control replicas while none answers.
 	searchInterval = 200 * time.Millisecond
+	// maxUnsentWait is how long a request about step jobs may wait for an answer to the renewal of the lease before it
+	// is refused. It bridges a delayed answer, not an election.
+	maxUnsentWait = 400 * time.Millisecond
 )
 
 // Config identifies an entry and sets its times.
@@ -84,10 +89,15 @@
 
 // pendingRequest is a request that waits for an answer. It is resent at resendAt and expires at deadline.
 type pendingRequest struct {
-	request  hsmessage.Request
+	request hsmessage.Request
+	// unsent is set while the request hasn't been sent to any control replica, so that it can be refused as not run.
+	// It is refused at deadline then.
+	unsent   bool
 	deadline time.Time
 	resendAt time.Time
 	backoff  time.Duration
+	// timeout is that of the caller, counted from when the request arrived.
+	timeout time.Duration
 }
 
 // Entry implements the entry role of one process.
@@ -146,6 +156,13 @@
 	}
 	p := &pendingRequest{request: m, deadline: now.Add(timeout), backoff: initialBackoff}
 	e.pending[m.ID] = p
+	if m.Work != nil && e.leaseClient.AnswerLate() {
+		p.unsent = true
+		p.deadline = now.Add(min(timeout, maxUnsentWait))
+		p.resendAt = p.deadline
+		p.timeout = timeout
+		return m.ID
+	}
 	e.send(p, now)
 	return m.ID
 }
@@ -231,6 +248,7 @@
 		if e.leaseClient.Leader() != before {
 			e.resendAll(e.ports.Clock.Now())
 		}
+		e.sendUnsent(e.ports.Clock.Now())
 	case hsmessage.Redirect:
 		if e.leaseClient.FollowRedirect(from, m.Leader) {
 			e.renewAt = e.ports.Clock.Now().Add(redirectDelay)
@@ -268,6 +286,9 @@
 // resendAll schedules every pending request to be resent at the given time, with the backoff reset.
 func (e *Entry) resendAll(at time.Time) {
 	for _, p := range e.pending {
+		if p.unsent {
+			continue
+		}
 		p.resendAt = at
 		p.backoff = initialBackoff
 	}
@@ -287,7 +308,7 @@
 		switch {
 		case !now.Before(p.deadline):
 			e.expire(p)
-		case !now.Before(p.resendAt):
+		case !p.unsent && !now.Before(p.resendAt):
 			e.send(p, now)
 		}
 	}
@@ -320,9 +341,24 @@
 	return all
 }
 
-// expire answers a request whose timeout has expired.
+// sendUnsent sends the requests that waited for contact with the leader.
+func (e *Entry) sendUnsent(now time.Time) {
+	for _, p := range e.sortedPending() {
+		if p.unsent {
+			p.unsent = false
+			p.deadline = p.deadline.Add(p.timeout - min(p.timeout, maxUnsentWait))
+			e.send(p, now)
+		}
+	}
+}
+
+// expire answers a request whose timeout has expired. One that was never sent is refused as not run.
 func (e *Entry) expire(p *pendingRequest) {
 	delete(e.pending, p.request.ID)
+	if p.unsent {
+		e.ports.Answerer.Answer(Refuse(&p.request, "the leader doesn't answer the entry"))
+		return
+	}
 	e.ports.Answerer.Answer(hsmessage.Reply{
 		ID:     p.request.ID,
 		Status: hsmessage.StatusUnknown,
--- a/core/command/hsentry/entry_test.go
+++ b/core/command/hsentry/entry_test.go
@@ -68,3 +68,54 @@
 		}
 	}
 }
+
+// TestUnsentRequest checks what happens to a request about step jobs by when it arrives around the loss of the leader.
+// Pattern: all control processes lose power while callers go on; a request that was sent into the void can't be tried
+// again safely, and one that was held until its deadline left its caller without an answer.
+func TestUnsentRequest(t *testing.T) {
+	tables := []struct {
+		name string
+		// late is how long before the request the last renewal was sent; it isn't answered before the request.
+		late time.Duration
+		// answered is when the renewal is answered after the request; zero for never.
+		answered time.Duration
+		sent     bool
+		want     hsmessage.Status
+		within   time.Duration
+	}{
+		{"the leader answered just now", 100 * time.Millisecond, 0, true, hsmessage.StatusUnknown, 3 * time.Second},
+		{"the leader's answer is late and doesn't come", 350 * time.Millisecond, 0, false, hsmessage.StatusRefused, 400 * time.Millisecond},
+		{"the leader's answer is late and comes", 350 * time.Millisecond, 200 * time.Millisecond, true, hsmessage.StatusUnknown, 3 * time.Second},
+	}
+	for _, tt := range tables {
+		p := &fakePorts{now: time.Unix(10, 0)}
+		e := hsentry.New(hsentry.Config{Instance: "e", Controls: []hsstate.Peer{"c"}}, hsentry.Ports{Clock: p, Random: p, Sender: p, Answerer: p})
+		grant := func(sequence hsid.Sequence) {
+			e.Receive("c", hsmessage.Lease{Term: 1, Sequence: sequence, Duration: 2 * time.Second, Number: 1, Rules: &hsstate.RuleSet{Number: 1}})
+		}
+		e.Wake()
+		grant(1)
+		p.now = p.now.Add(500 * time.Millisecond)
+		e.Wake()
+		p.now = p.now.Add(tt.late)
+		p.sent = nil
+		began := p.now
+		id := e.Do(hsmessage.Request{Work: &hsmessage.WorkRequest{Action: hsmessage.WorkSubmit}}, 3*time.Second)
+		for len(p.answers) == 0 && p.now.Sub(began) < time.Minute {
+			p.now = p.now.Add(10 * time.Millisecond)
+			if tt.answered > 0 && p.now.Sub(began) == tt.answered {
+				grant(2)
+			}
+			e.Wake()
+		}
+		sent := false
+		for _, m := range p.sent {
+			if r, ok := m.(hsmessage.Request); ok && r.ID == id {
+				sent = true
+			}
+		}
+		if got := p.answers[0].Status; got != tt.want || sent != tt.sent || p.now.Sub(began) != tt.within {
+			t.Errorf("%s: got %s after %s and sent %v, want %s after %s and sent %v", tt.name, got, p.now.Sub(began), sent, tt.want, tt.within, tt.sent)
+		}
+	}
+}
--- a/core/command/hsleaseclient/client.go
+++ b/core/command/hsleaseclient/client.go
@@ -120,7 +120,7 @@
 // Targets returns the control replicas to ask next: Target alone, or all of them while an answer is late. Asking all
 // finds a new leader as soon as one is elected, whatever the other replicas believe.
 func (c *Client) Targets() []hsstate.Peer {
-	if !c.answerLate() {
+	if !c.AnswerLate() {
 		return []hsstate.Peer{c.Target()}
 	}
 	targets := slices.Clone(c.config.Controls)
@@ -130,15 +130,15 @@
 	return targets
 }
 
-// answerLate reports whether a renewal has been unanswered for longer than AnswerTimeout.
-func (c *Client) answerLate() bool {
+// AnswerLate reports whether a renewal has been unanswered for longer than Config.AnswerTimeout.
+func (c *Client) AnswerLate() bool {
 	return !c.waitingSince.IsZero() && c.clock.Now().Sub(c.waitingSince) >= c.config.AnswerTimeout
 }
 
 // AnswerDeadline returns the time at which the pending answer will be late. It returns false when no answer is
 // pending or it is late already.
 func (c *Client) AnswerDeadline() (time.Time, bool) {
-	if c.waitingSince.IsZero() || c.answerLate() {
+	if c.waitingSince.IsZero() || c.AnswerLate() {
 		return time.Time{}, false
 	}
 	return c.waitingSince.Add(c.config.AnswerTimeout), true
