hsdispatch: an evacuation moves no run of which nothing is known yet

Only a recent report that knows the endpoint's lists now shows that a run hasn't begun. The new row of TestEvacuation fails without the change (1 stop instead of 0).

--- a/core/command/hsdispatch/zone.go
+++ b/core/command/hsdispatch/zone.go
@@ -14,7 +14,7 @@
 func (d *Dispatcher) isEvacuated(w *worker) bool { return d.state.Evacuated(w.report.Zone) != nil }
 
 // stopUnstarted stops the runs that were placed on workers of evacuated zones and haven't been reported as running
-// within evacuationGrace, so that they start elsewhere.
+// within evacuationGrace, so that they start elsewhere. Only recent reports that know what runs on the endpoint count.
 func (d *Dispatcher) stopUnstarted() {
 	if len(d.state.EvacuatedZones) == 0 {
 		return
@@ -31,6 +31,9 @@
 	if z == nil || d.ports.Log.Clock()-z.Since < evacuationGrace {
 		return
 	}
+	if !w.report.ListsKnown || d.lastPass.Sub(w.lastHeard) > silenceTimeout {
+		return
+	}
 	for _, p := range d.placedOn(id) {
 		if _, began := d.runningSince[p.run]; !began && !d.stopping[p.run] && !d.proposedEnds[p.run] {
 			d.stopRun(p, StopEvacuated, "")
--- a/core/command/hsdispatch/zone_test.go
+++ b/core/command/hsdispatch/zone_test.go
@@ -56,6 +56,19 @@
 			h.reports["a"].NeverStarted = h.plans["a"].Stops
 			h.advance(200 * time.Millisecond)
 		}, []string{"b/2"}},
+		{"evacuated long ago, under a new leader whose reports don't know yet what runs", func(h *harness) {
+			h.submit(1, 1, "w2", step(1, 1000, 8))
+			h.applyPlan("a")
+			change(h, "z1", false)
+			h.advance(2 * time.Second)
+			running := h.reports["a"].Running
+			h.reports["a"].Running, h.reports["a"].ListsKnown = nil, false
+			h.startLeadership(2)
+			h.advance(time.Second)
+			h.reports["a"].Running, h.reports["a"].ListsKnown = running, true
+			h.advance(time.Second)
+			h.assertEqual("stops", len(h.stops), 0)
+		}, []string{"a/1"}},
 		{"all zones evacuated", func(h *harness) {
 			change(h, "z1", false)
 			change(h, "z2", false)
