--- a/core/command/hsdispatch/headroom.go
+++ b/core/command/hsdispatch/headroom.go
@@ -37,7 +37,7 @@
 // likely to be preempted soon, so a unit that would lose its work and can wait leaves it free. On an idle fleet there is
 // capacity for urgent units elsewhere.
 func (d *Dispatcher) mayUseHeadroom(u *unit) bool {
-	if d.load.highest < idlePercent || d.waitedOnIdleFleet(u) {
+	if d.load.highest < idlePercent || d.hasWaited(u) {
 		return true
 	}
 	return u.job.Priority == 0 || u.step.Checkpoints || u.step.LongRunning || u.timeliness == onTime && u.slack < headroomWindow
--- a/core/command/hsdispatch/health.go
+++ b/core/command/hsdispatch/health.go
@@ -107,14 +107,14 @@
 // avoids reports whether a unit shouldn't be placed on a worker because of failures there. A suspect worker gets one
 // task at a time as a probe, of a job that can still afford a failure; a unit that can't afford one also avoids
 // workers with a single failure. Covered units, which have to start in time, use such workers as a last resort, and so
-// do others while much of the fleet is idle.
+// do long-running ones, and others while much of the fleet is idle, after a short wait.
 func (d *Dispatcher) avoids(u *unit, o *offer) bool {
 	h := &o.worker.health
 	now := d.lastPass
 	switch {
 	case h.failures == 0 || u.covered:
 		return false
-	case d.waitedOnIdleFleet(u):
+	case d.hasWaited(u):
 		return false
 	case h.suspect():
 		return len(u.tasks) > 1 || u.lastAttempt() || !h.probeDue(now)
--- a/core/command/hsdispatch/health_test.go
+++ b/core/command/hsdispatch/health_test.go
@@ -85,6 +85,23 @@
 	h.assertEqual("after a completed run", h.assignments(next), []string{"a/1", "a/1"})
 }
 
+// TestLongRunningOnSuspectWorker checks that a long-running task, which serves users, waits only briefly for a healthy
+// worker, however busy the fleet is.
+func TestLongRunningOnSuspectWorker(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a", "r1-1")
+	failRuns(h, 1, 4)
+	for _, id := range []string{"b", "c"} {
+		h.addWorker(id, "r1-1")
+	}
+	h.submit(60, 0, "w2", with(step(2, 32000, 8), func(s *hswork.Step) { s.Need.Memory = 128 * hsid.GiB; s.Estimate = time.Minute }))
+	h.applyPlans()
+	job := h.submit(70, 1, "w2", with(step(1, 1000, 1), func(s *hswork.Step) { s.LongRunning = true }))
+	h.assertEqual("at once", len(h.assignments(job)), 0)
+	h.advance(2200 * time.Millisecond)
+	h.assertEqual("after a while", h.assignments(job), []string{"a/1"})
+}
+
 // TestLastAttempt checks that a task whose next failure makes its job fail isn't started on a worker where a run of
 // another job has failed, and waits for another one while the fleet is busy.
 func TestLastAttempt(t *testing.T) {
--- a/core/command/hsdispatch/load.go
+++ b/core/command/hsdispatch/load.go
@@ -40,7 +40,8 @@
 	return d.load.highest < idlePercent || d.load.lowest < idlePercent && d.placed.runsOf[u.job.ID] == 0
 }
 
-// waitedOnIdleFleet reports whether a unit has waited for maxIdleWait while the fleet is idle.
-func (d *Dispatcher) waitedOnIdleFleet(u *unit) bool {
-	return d.isIdle(u) && d.lastPass.Sub(u.readySince) > maxIdleWait
+// hasWaited reports whether a unit has waited long enough to take any capacity: maxIdleWait while the fleet is idle.
+// Long-running units serve users all the time and wait no longer on a busy fleet.
+func (d *Dispatcher) hasWaited(u *unit) bool {
+	return (u.step.LongRunning || d.isIdle(u)) && d.lastPass.Sub(u.readySince) > maxIdleWait
 }
