hsdispatch: jobs certain to miss their objective come after those that can meet theirs

Cause: within a priority the least slack went first, also when it was far below zero, so after a burst or a lost leader the jobs that couldn't be on time any more made the younger ones late as well, one after another. A job that would miss its objective by a quarter of its critical path if it started now counts as late. Not in the lowest priority, where all others come first already and the oldest would never be served; late jobs may use the headroom of urgent ones until they are overdue.

--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -133,6 +133,8 @@
 	coveredJobs map[hswork.ID]bool
 	// totalCores is the capacity of all workers that accept new runs, with accelerators converted into cores.
 	totalCores float64
+	// lowestPriority is the largest priority number of a queue, as of the last pass.
+	lowestPriority int
 	// load is that of the same workers, as of the last pass.
 	load load
 
--- a/core/command/hsdispatch/headroom.go
+++ b/core/command/hsdispatch/headroom.go
@@ -40,5 +40,5 @@
 	if d.load.highest < idlePercent || d.hasWaited(u) {
 		return true
 	}
-	return u.job.Priority == 0 || u.step.Checkpoints || u.step.LongRunning || u.timeliness == onTime && u.slack < headroomWindow
+	return u.job.Priority == 0 || u.step.Checkpoints || u.step.LongRunning || u.timeliness != overdue && u.slack < headroomWindow
 }
--- a/core/command/hsdispatch/order.go
+++ b/core/command/hsdispatch/order.go
@@ -13,13 +13,17 @@
 // sizeFactor weighs the size of a job against its slack.
 const sizeFactor = 2
 
+// missedPercent is by how much of its critical path a job has to miss its objective, if it started now, to count as
+// certain to miss it. Run times are estimates.
+const missedPercent = 25
+
 // timeliness compares the age of a job with its latency objective.
 type timeliness int
 
 const (
 	// onTime jobs haven't exceeded their objective, or still have slack.
 	onTime timeliness = iota
-	// late jobs have exceeded it and have no slack left.
+	// late jobs have exceeded it and have no slack left, or are certain to exceed it.
 	late
 	// overdue jobs have exceeded overdueFactor times the objective.
 	overdue
@@ -39,11 +43,15 @@
 }
 
 // updateTimeliness sets the timeliness of a unit's job, and the slack within which the unit has to start to be on
-// time. Long-running units have no slack and are always on time.
+// time. Long-running units have no slack and are always on time. A job that is certain to miss its objective gives way to
+// those that can still meet theirs, but not among jobs of the lowest priority, which all others precede already: there the
+// oldest would never be served.
 func (d *Dispatcher) updateTimeliness(u *unit, now time.Time) {
 	age := d.age(u.job, u.tasks[0].Occurrence, now)
 	objective := d.latencyObjective(u.job)
-	u.slack = objective - age - d.criticalPath(u.job) + d.sizePenalty(u.job)
+	path := d.criticalPath(u.job)
+	remaining := objective - age - path
+	u.slack = remaining + d.sizePenalty(u.job)
 	switch {
 	case u.step.LongRunning:
 		u.slack = 0
@@ -51,6 +59,8 @@
 		u.timeliness = overdue
 	case u.slack < 0 && age > objective:
 		u.timeliness = late
+	case remaining < -path*missedPercent/100 && u.job.Priority < d.lowestPriority:
+		u.timeliness = late
 	}
 }
 
--- a/core/command/hsdispatch/unit.go
+++ b/core/command/hsdispatch/unit.go
@@ -44,6 +44,10 @@
 	var units []*unit
 	open := d.state.OpenJobs()
 	d.coveredJobs = d.jobsUnderGuarantee(open)
+	d.lowestPriority = 0
+	for i := range d.state.Catalog.Queues {
+		d.lowestPriority = max(d.lowestPriority, d.state.Catalog.Queues[i].Priority)
+	}
 	readySince := map[hswork.TaskID]time.Time{}
 	for _, j := range open {
 		for k := range d.dueOccurrences(j, now) {
