hsdispatch: the fence of a worker never falls within a term

Cause, found by reading the change to the fence once more: the epoch was kept with the leader's view of the worker, which is dropped after a minute of silence. A worker that came back then got plans with a lower fence than its endpoint had seen, and the endpoint would have refused every call until the next term. The epochs now outlive that view, and also rise for a worker that has not reported to this leader. The new row of TestFenceAfterLoss fails without the change.

--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -109,6 +109,9 @@
 	leadingSince time.Time
 
 	workers map[hsid.InstanceID]*worker
+	// epochs holds the part of the fence that rises when a run of a worker is given up. It outlives the worker's entry
+	// in workers, as its endpoint refuses calls with a lower fence.
+	epochs map[hsid.InstanceID]uint64
 	// placed indexes the runs that aren't proved to have ended.
 	placed *placedIndex
 	// proposedEnds holds the runs whose end was proposed and isn't applied yet.
@@ -159,6 +162,7 @@
 		term:           term,
 		leadingSince:   p.Clock.Now(),
 		workers:        map[hsid.InstanceID]*worker{},
+		epochs:         map[hsid.InstanceID]uint64{},
 		placed:         newPlacedIndex(s),
 		proposedEnds:   map[hswork.RunID]bool{},
 		proposedStarts: map[hswork.TaskID]*hswork.Start{},
@@ -276,8 +280,8 @@
 	}
 	for i := range ends {
 		d.proposedEnds[ends[i].Run] = true
-		if w := d.workers[worker]; w != nil && ends[i].Kind == hswork.EndLost {
-			w.epoch++
+		if ends[i].Kind == hswork.EndLost {
+			d.epochs[worker]++
 		}
 		d.ports.Observer.RunEnded(&ends[i], worker)
 	}
--- a/core/command/hsdispatch/loss_test.go
+++ b/core/command/hsdispatch/loss_test.go
@@ -185,6 +185,13 @@
 			h.reports["a"] = a
 			h.report("a")
 		}, hswork.NewFence(1, 1)},
+		{"a worker that was silent until it was forgotten", func(h *harness, a *hsmessage.RunnerReport) {
+			delete(h.reports, "a")
+			h.advance(2 * time.Minute)
+			h.reports["a"] = a
+			a.Running = nil
+			h.report("a")
+		}, hswork.NewFence(1, 1)},
 		{"a run that was given up with its endpoint", func(h *harness, a *hsmessage.RunnerReport) {
 			a.EndpointTerminated = true
 			h.report("a")
--- a/core/command/hsdispatch/offer.go
+++ b/core/command/hsdispatch/offer.go
@@ -22,9 +22,9 @@
 	reserved *reservation
 }
 
-// offers returns the offers of the workers of all pools that accept new runs and aren't evacuated, in the order of the worker ids.
-// Capacity that placed, stray, proposed and claimed runs use isn't free. It updates totalCores and
-// load.
+// offers returns the offers of the workers of all pools that accept new runs and aren't evacuated, in the order of the
+// worker ids.
+// Capacity that placed, stray, proposed and claimed runs use isn't free. It updates totalCores and load.
 func (d *Dispatcher) offers(now time.Time) []*offer {
 	var offers []*offer
 	for _, w := range d.workers {
--- a/core/command/hsdispatch/plan.go
+++ b/core/command/hsdispatch/plan.go
@@ -37,7 +37,7 @@
 		EndpointIncarnation: incarnation,
 		AckedEnd:            w.acked,
 		Controls:            d.controls,
-		Fence:               hswork.NewFence(d.term, w.epoch),
+		Fence:               hswork.NewFence(d.term, d.epochs[w.id]),
 	}
 	for _, r := range d.placedOn(w.id) {
 		switch {
--- a/core/command/hsdispatch/worker.go
+++ b/core/command/hsdispatch/worker.go
@@ -25,8 +25,6 @@
 	planDue bool
 	health  health
 	urgent  urgentUse
-	// epoch is the part of the fence that rises when a run of the worker is given up.
-	epoch uint64
 }
 
 // need returns the resources that a task of a step reserves on its worker. A best-effort step reserves no cores: its
@@ -74,7 +72,7 @@
 	}
 	d.trackProgress(&report, w.lastHeard)
 	d.proposeReportedEnds(w)
-	w.epoch = max(w.epoch, report.MinFence.EpochIn(d.term))
+	d.epochs[w.id] = max(d.epochs[w.id], report.MinFence.EpochIn(d.term))
 	d.advanceAck(w)
 }
 
