--- a/review/_harness/client.go
+++ b/review/_harness/client.go
@@ -26,7 +26,7 @@
 	var routes []map[string]any
 	for priority, prefix := range []string{queuePrefix, queuePrefix1, queuePrefix2} {
 		routes = append(routes, map[string]any{
-			"name": "r-" + strconv.Itoa(priority), "host": queueHost, "pathPrefix": prefix, "kind": "non_idempotent", "timeoutMs": 3000,
+			"name": "r-" + strconv.Itoa(priority), "host": queueHost, wire.Prefix: prefix, "kind": "non_idempotent", "timeoutMs": 3000,
 			"targetLatencyMs": 1000, "priority": priority, "service": "svc", "maxAttempts": 2, "stretch": 3.0, "public": false,
 		})
 	}
@@ -34,10 +34,10 @@
 		"version": version,
 		"routes":  routes,
 		"services": []map[string]any{{
-			"name": "svc", "healthPath": "/health", "maxConnections": 64, "protocol": "h1", "tls": false, "rejectsOverload": true, "standby": false,
+			"name": "svc", "healthPath": "/health", "maxConnections": 64, "protocol": "h1", "tls": false, wire.Guards: true, "standby": false,
 		}},
 		"limits":  map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []map[string]any{{"name": "t-1", "apiKeys": keys, "priority": 1, "guaranteedGpus": map[string]int{"gpu": 16}}},
+		"tenants": []map[string]any{{"name": "t-1", "apiKeys": keys, "priority": 1, wire.Guaranteed: map[string]int{"gpu": 16}}},
 	})
 	return string(body)
 }
@@ -101,7 +101,7 @@
 
 // ready waits until the configuration is acknowledged and all frontends are ready.
 func (d *deployment) ready(config string) bool {
-	if !d.order(0, "/v1/config/put", config, 30*time.Second) {
+	if !d.order(0, wire.PutConfiguration, config, 30*time.Second) {
 		return false
 	}
 	return waitUntil(20*time.Second, func() bool {
--- a/review/_harness/deployment.go
+++ b/review/_harness/deployment.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"regexp"
 	"strings"
@@ -55,11 +54,11 @@
 	proxies                             []*faultproxy.Proxy
 }
 
-// node is one process of a deployment; cmd is nil while it isn't running.
+// node is one process of a deployment; process is nil while it isn't running.
 type node struct {
 	name, config, ip string
 	log              *os.File
-	cmd              *exec.Cmd
+	process          *os.Process
 	exited           chan struct{}
 }
 
@@ -251,16 +250,17 @@
 
 // launch starts the process of a node, with the command of the deploy file.
 func (d *deployment) launch(n *node) error {
-	cmd := exec.Command("target/hyssopseam-node", "--config", n.config)
-	cmd.Dir = d.root
-	cmd.Stdout, cmd.Stderr = n.log, n.log
-	if err := cmd.Start(); err != nil {
+	program := "target/hyssopseam-node"
+	p, err := os.StartProcess(filepath.Join(d.root, program), []string{program, "--config", n.config}, &os.ProcAttr{
+		Dir: d.root, Env: os.Environ(), Files: []*os.File{nil, n.log, n.log},
+	})
+	if err != nil {
 		return err
 	}
-	n.cmd = cmd
+	n.process = p
 	n.exited = make(chan struct{})
 	go func(done chan struct{}) {
-		_ = cmd.Wait()
+		_, _ = p.Wait()
 		close(done)
 	}(n.exited)
 	return nil
@@ -268,12 +268,12 @@
 
 // kill ends a process with SIGKILL.
 func (d *deployment) kill(n *node) {
-	if n.cmd == nil {
+	if n.process == nil {
 		return
 	}
-	_ = n.cmd.Process.Signal(syscall.SIGKILL)
+	_ = n.process.Signal(syscall.SIGKILL)
 	<-n.exited
-	n.cmd = nil
+	n.process = nil
 }
 
 // close ends everything that the deployment started.
--- a/review/_harness/platform.go
+++ b/review/_harness/platform.go
@@ -43,8 +43,8 @@
 		return nil, err
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/machines", p.list)
-	mux.HandleFunc("POST /v1/machine-upkeep", p.upkeep)
+	mux.HandleFunc(wire.ListMachines, p.list)
+	mux.HandleFunc(wire.Upkeep, p.upkeep)
 	p.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
 	go func() { _ = p.server.Serve(l) }()
 	return p, nil
--- a/review/_harness/worker.go
+++ b/review/_harness/worker.go
@@ -141,9 +141,9 @@
 		return nil, err
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/run-start", w.start)
-	mux.HandleFunc("POST /v1/run-stop", w.stop)
-	mux.HandleFunc("POST /v1/hold", w.hold)
+	mux.HandleFunc(wire.StartRun, w.start)
+	mux.HandleFunc(wire.StopRun, w.stop)
+	mux.HandleFunc(wire.Hold, w.hold)
 	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
 	w.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
 	go func() { _ = w.server.Serve(l) }()
@@ -192,14 +192,14 @@
 	w.mutex.Lock()
 	w.sequence++
 	fields := map[string]any{
-		"service": "svc", "address": w.address, "zone": "z1", "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
+		"service": "svc", "address": w.address, "zone": "z1", "version": "v1", "slots": 8, "state": "ready", wire.Cold: 0,
 		"capacity": map[string]int{"cpu": 32000, "memMb": 131072, "gpu": workerGPUs}, "labels": w.labels,
 		"clockMs": w.clock(), "sequence": w.sequence, "born": w.born.UnixMilli(),
 	}
 	w.mutex.Unlock()
 	if w.draining.Load() {
 		fields["state"] = "draining"
-		fields["drainRemainingMs"] = drainTimeout.Milliseconds()
+		fields[wire.DrainLeft] = drainTimeout.Milliseconds()
 	}
 	return w.tell("heartbeat", fields)
 }
@@ -222,7 +222,7 @@
 	if err != nil {
 		return false
 	}
-	response, err := w.client.Post("http://"+w.agent+"/v1/instances/"+w.id+"/"+what, "application/json", bytes.NewReader(body))
+	response, err := w.client.Post("http://"+w.agent+fmt.Sprintf(wire.TellSide, w.id, what), "application/json", bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
@@ -277,7 +277,7 @@
 	Task         string `json:"task"`
 	Run          int    `json:"run"`
 	Spec         string `json:"spec"`
-	FencingToken uint64 `json:"fencingToken"`
+	FencingToken uint64 `json:"-"`
 	DeadlineMS   int64  `json:"deadlineMs"`
 	LastSeen     int    `json:"lastSeen"`
 	WaitMS       int64  `json:"waitMs"`
@@ -287,7 +287,18 @@
 // call and reports false.
 func (w *worker) accept(out http.ResponseWriter, q *http.Request) (callBody, bool) {
 	var c callBody
-	if err := json.NewDecoder(q.Body).Decode(&c); err != nil {
+	var fields map[string]json.RawMessage
+	content, err := io.ReadAll(q.Body)
+	if err == nil {
+		err = json.Unmarshal(content, &c)
+	}
+	if err == nil {
+		err = json.Unmarshal(content, &fields)
+	}
+	if fence := fields[wire.Fence]; err == nil && fence != nil {
+		err = json.Unmarshal(fence, &c.FencingToken)
+	}
+	if err != nil {
 		w.answer(out, http.StatusBadRequest, nil)
 		return c, false
 	}
