hsrunner: a shutdown notice counts only for the incarnation that sent it

Cause: HandleShutdownNotice compared only the identifier of the endpoint, and the adapter didn't read the time of the worker's start from a deregister. One that a cut had held up for 12.6 s ended the worker's next start: its runs were reported as lost and placed again, while the worker kept its lease.

TestLateShutdownNotice fails in four rows with the comparison by identifier alone.

Why it works: a notice that names a start counts only for that start. One that names none counts only for an endpoint that has announced that it leaves, from half a second before the announced time on; otherwise the lease of the runs is awaited, as for any silent endpoint. Each notice is logged with the start that it names and whether it counted.

--- a/core/command/hsrunner/endpoint.go
+++ b/core/command/hsrunner/endpoint.go
@@ -107,6 +107,13 @@
 	Ended               []hsmessage.EndedTask
 }
 
+// ShutdownNotice is what an endpoint sends just before it ends.
+type ShutdownNotice struct {
+	Endpoint hswork.EndpointID
+	// Incarnation is zero when the notice doesn't name one.
+	Incarnation hswork.EndpointIncarnation
+}
+
 // Announcement is what an endpoint reports about itself to the runner.
 type Announcement struct {
 	Endpoint hsmessage.Endpoint
--- a/core/command/hsrunner/lifecycle.go
+++ b/core/command/hsrunner/lifecycle.go
@@ -140,17 +140,29 @@
 }
 
 // HandleShutdownNotice handles the notice that the endpoint is shutting down, which also ends every run on it. A
-// notice of another endpoint, or a repeated one, is ignored.
-func (r *Runner) HandleShutdownNotice(id hswork.EndpointID) {
+// notice of another endpoint or of another incarnation, which may arrive late, is ignored, and so is a repeated one.
+func (r *Runner) HandleShutdownNotice(n ShutdownNotice) {
 	s := r.current
-	if s == nil || s.endpoint.ID != id || !s.shutdownAt.IsZero() {
+	now := r.ports.Clock.Now()
+	current := s != nil && s.endpoint.ID == n.Endpoint && s.mayHaveSent(n, now)
+	r.ports.Observer.ShutdownNoticed(n, current)
+	if !current || !s.shutdownAt.IsZero() {
 		return
 	}
 	s.endpoint.Leaving = true
-	s.shutdownAt = r.ports.Clock.Now()
+	s.shutdownAt = now
 	r.reportDue = true
 }
 
+// mayHaveSent reports whether a notice of this endpoint is from this incarnation. One that names no incarnation is only
+// expected from an endpoint that has announced that it leaves, and not long before the time that it gave.
+func (s *endpointState) mayHaveSent(n ShutdownNotice, now time.Time) bool {
+	if n.Incarnation != 0 {
+		return n.Incarnation == s.endpoint.Incarnation
+	}
+	return !s.leavesAt.IsZero() && !now.Before(s.leavesAt.Add(-leaveSlack))
+}
+
 // updateClock keeps the newest reading of the endpoint's clock and ignores zero and older ones.
 func (s *endpointState) updateClock(c ClockReading, now time.Time) {
 	if c > 0 && (s.clockReadAt.IsZero() || c >= s.clock) {
--- a/core/command/hsrunner/runner.go
+++ b/core/command/hsrunner/runner.go
@@ -31,6 +31,8 @@
 	searchInterval = 200 * time.Millisecond
 	// shutdownGrace is how long an endpoint may take to end after it announced its shutdown.
 	shutdownGrace = 500 * time.Millisecond
+	// leaveSlack is how much earlier than announced a leaving endpoint may send a notice that names no incarnation.
+	leaveSlack = 500 * time.Millisecond
 	// clockDriftPercent is how much slower than the clock of this process the endpoint's clock may run, with a
 	// margin.
 	clockDriftPercent = 3
@@ -65,6 +67,8 @@
 type Observer interface {
 	EndpointChanged(a Announcement)
 	EndpointTerminated(id hswork.EndpointID, reason string)
+	// ShutdownNoticed is called for each notice of a shutdown; current is set if it ends the present incarnation.
+	ShutdownNoticed(n ShutdownNotice, current bool)
 	RunStarted(run hswork.RunID, r CallResult)
 	RunStopped(run hswork.RunID, r CallResult)
 	// RunEndListed is called for each end that the endpoint's lists show for the first time.
--- a/core/command/hsrunner/runner_test.go
+++ b/core/command/hsrunner/runner_test.go
@@ -47,8 +47,10 @@
 	h.calls = append(h.calls, fmt.Sprintf("pace %s %d", c.Run, c.Pace))
 }
 
-func (h *harness) EndpointChanged(hsrunner.Announcement)        {}
-func (h *harness) EndpointTerminated(hswork.EndpointID, string) {}
+func (h *harness) EndpointChanged(hsrunner.Announcement)         {}
+func (h *harness) EndpointTerminated(hswork.EndpointID, string)  {}
+func (h *harness) ShutdownNoticed(hsrunner.ShutdownNotice, bool) {}
+
 func (h *harness) RunStarted(hswork.RunID, hsrunner.CallResult) {}
 func (h *harness) RunStopped(hswork.RunID, hsrunner.CallResult) {}
 func (h *harness) RunEndListed(hsmessage.EndedTask)             {}
@@ -349,6 +351,49 @@
 	h.check("incarnation", h.report.Endpoint.Incarnation, initialIncarnation)
 }
 
+// TestLateShutdownNotice checks that a shutdown notice of another incarnation doesn't end the present one, whose runs
+// would be started a second time elsewhere.
+func TestLateShutdownNotice(t *testing.T) {
+	const earlier = initialIncarnation - 10
+	tables := []struct {
+		name    string
+		leaving bool
+		after   time.Duration
+		notice  hsrunner.ShutdownNotice
+		want    bool
+	}{
+		{"of the present incarnation", false, 0, hsrunner.ShutdownNotice{Endpoint: "e", Incarnation: initialIncarnation}, true},
+		{"of an earlier incarnation", false, 0, hsrunner.ShutdownNotice{Endpoint: "e", Incarnation: earlier}, false},
+		{"of an earlier incarnation, while the present one leaves", true, 3 * time.Second, hsrunner.ShutdownNotice{Endpoint: "e", Incarnation: earlier}, false},
+		{"of another endpoint", true, 3 * time.Second, hsrunner.ShutdownNotice{Endpoint: "x", Incarnation: initialIncarnation}, false},
+		{"of no incarnation, by an endpoint that doesn't leave", false, 0, hsrunner.ShutdownNotice{Endpoint: "e"}, false},
+		{"of no incarnation, long before the endpoint leaves", true, time.Second, hsrunner.ShutdownNotice{Endpoint: "e"}, false},
+		{"of no incarnation, when the endpoint leaves", true, 3 * time.Second, hsrunner.ShutdownNotice{Endpoint: "e"}, true},
+	}
+	for _, tt := range tables {
+		h := newHarness(t)
+		h.sendPlan(func(p *hsmessage.Plan) { p.Runs = []hsmessage.PlannedRun{plannedRun(0)} })
+		h.answerStart(hsrunner.CallDone)
+		h.running = []hsmessage.RunningTask{{Run: runID(0)}}
+		h.answerHolds()
+		if tt.leaving {
+			e := hsmessage.Endpoint{ID: "e", Incarnation: initialIncarnation, Pool: "pool", Leaving: true, LeavesIn: 3 * time.Second}
+			h.runner.HandleAnnouncement(hsrunner.Announcement{Endpoint: e, Address: "a", Sequence: 2, Clock: h.reading()})
+		}
+		wait := func(d time.Duration) {
+			for end := h.now.Add(d); h.now.Before(end); {
+				h.advance(500 * time.Millisecond)
+				h.answerHolds()
+			}
+		}
+		wait(tt.after)
+		h.runner.HandleShutdownNotice(tt.notice)
+		wait(time.Second)
+		h.check(tt.name+": terminated", h.report.EndpointTerminated, tt.want)
+		h.check(tt.name+": leaving", h.report.Endpoint.Leaving, tt.want || tt.leaving)
+	}
+}
+
 // TestPace checks that best-effort runs are throttled or paused when a serving run nears or misses its target, and
 // sped up again step by step.
 func TestPace(t *testing.T) {
--- a/internal/play/runner.go
+++ b/internal/play/runner.go
@@ -83,6 +83,9 @@
 // EndpointTerminated does nothing.
 func (r *Runner) EndpointTerminated(hswork.EndpointID, string) {}
 
+// ShutdownNoticed implements hsrunner.Observer.
+func (r *Runner) ShutdownNoticed(hsrunner.ShutdownNotice, bool) {}
+
 // RunStarted does nothing.
 func (r *Runner) RunStarted(hswork.RunID, hsrunner.CallResult) {}
 
--- a/io/hsdecision/recorder.go
+++ b/io/hsdecision/recorder.go
@@ -146,6 +146,11 @@
 	rc.log.Warn("endpoint is over", "endpoint", id, "reason", reason)
 }
 
+// ShutdownNoticed records the notice of an endpoint that shuts down, and whether it ends the present incarnation.
+func (rc *Recorder) ShutdownNoticed(n hsrunner.ShutdownNotice, current bool) {
+	rc.log.Info("endpoint sent a shutdown notice", "endpoint", n.Endpoint, "life", n.Incarnation, "current", current)
+}
+
 // RunStarted records the result of a start call.
 func (rc *Recorder) RunStarted(run hswork.RunID, r hsrunner.CallResult) {
 	rc.endpointCalls.WithLabelValues("start", string(r.Verdict)).Inc()
--- a/io/hsprocess/runner.go
+++ b/io/hsprocess/runner.go
@@ -27,11 +27,11 @@
 	in.accepted <- p.runner != nil && p.runner.HandleAnnouncement(in.announcement)
 }
 
-// EndpointLeaving tells the runner role that the endpoint is shutting down. It returns false without the runner role,
+// EndpointLeaving passes an endpoint's notice that it is shutting down to the runner role. It returns false without the runner role,
 // when the inbox is full, and when the context ends first.
-func (p *Process) EndpointLeaving(ctx context.Context, id hswork.EndpointID) bool {
+func (p *Process) EndpointLeaving(ctx context.Context, n hsrunner.ShutdownNotice) bool {
 	accepted := make(chan bool, 1)
-	if !p.tryEnqueue(endpointLeaving{id: id, accepted: accepted}) {
+	if !p.tryEnqueue(endpointLeaving{notice: n, accepted: accepted}) {
 		return false
 	}
 	return p.awaitAccepted(ctx, accepted)
@@ -49,13 +49,13 @@
 }
 
 type endpointLeaving struct {
-	id       hswork.EndpointID
+	notice   hsrunner.ShutdownNotice
 	accepted chan<- bool
 }
 
 func (in endpointLeaving) apply(p *Process) {
 	if p.runner != nil {
-		p.runner.HandleShutdownNotice(in.id)
+		p.runner.HandleShutdownNotice(in.notice)
 	}
 	in.accepted <- p.runner != nil
 }
