hsrunner: a late heartbeat doesn't shorten the wait for a lease

What callers could see: tasks that run twice, as runs on a silent worker are given up before its lease has expired.

Cause: an announcement of an earlier incarnation replaced the present one once that had been silent for 2.5 s. The next announcement of the present one created its state anew, without the deadline of the lease that was set before, so it counted as terminated after another 2.5 s of silence, while the lease lasts up to 10 s. The lowest accepted fence was forgotten too.

Evidence: TestLateAnnouncementBesideSilentEndpoint fails without the change ("before the lease has expired: terminated: got true").

Why it works: an earlier incarnation is accepted only once the present one counts as terminated, and an incarnation that isn't newer than all before it is treated as one that an earlier process may have given a lease. The fence is carried over.

--- a/core/command/hsrunner/lifecycle.go
+++ b/core/command/hsrunner/lifecycle.go
@@ -40,8 +40,8 @@
 	// minFence is the lowest fence with which the lease may be extended. It is raised when the endpoint counts as
 	// terminated, as a start that is still under way could begin under a new lease otherwise.
 	minFence hswork.Fence
-	// inheritedLease is when a lease that an earlier process of this runner may have set has expired; zero for an
-	// incarnation that began while this process ran.
+	// inheritedLease is when a lease has expired that may have been set before this state was created, by an earlier
+	// process or for the same incarnation; zero for an incarnation that began while this process ran.
 	inheritedLease time.Time
 	// leavesAt is the earliest time at which a leaving endpoint may be gone; zero while it isn't leaving.
 	leavesAt time.Time
@@ -78,13 +78,13 @@
 	confirmedBy int
 }
 
-// HandleAnnouncement handles an announcement of the endpoint. It returns false for one of an earlier incarnation
-// while the later one is healthy: it arrived late and is ignored.
+// HandleAnnouncement handles an announcement of the endpoint. It returns false for one of an earlier incarnation while
+// runs of the later one may be running: it arrived late and is ignored.
 func (r *Runner) HandleAnnouncement(a Announcement) bool {
 	now := r.ports.Clock.Now()
 	s := r.current
 	if s != nil && (s.endpoint.ID != a.Endpoint.ID || s.endpoint.Incarnation != a.Endpoint.Incarnation) {
-		if a.Endpoint.Incarnation < s.endpoint.Incarnation && now.Sub(s.lastAnswer) < unhealthyAfter {
+		if a.Endpoint.Incarnation < s.endpoint.Incarnation && !s.terminated {
 			return false
 		}
 		s = nil
@@ -126,10 +126,14 @@
 
 		unconfirmedPaces: map[hswork.RunID]bool{},
 	}
-	if r.generations == 1 {
+	if r.generations == 1 || a.Endpoint.Incarnation <= r.newestIncarnation {
 		lease := r.config.MaxLease
 		s.inheritedLease = now.Add(lease + lease*clockDriftPercent/100 + leaseSlack)
 	}
+	if r.current != nil {
+		s.minFence = r.current.minFence
+	}
+	r.newestIncarnation = max(r.newestIncarnation, a.Endpoint.Incarnation)
 	s.updateClock(a.Clock, now)
 	s.updateLeaving(now)
 	r.current = s
@@ -205,7 +209,7 @@
 		r.terminate("it left", now)
 	case s.hasLists && now.Sub(s.lastAnswer) > unhealthyAfter && s.leasesExpired(now):
 		r.terminate("it is silent and its lease is over", now)
-	case !s.hasLists && now.Sub(s.lastAnswer) > r.config.MaxLease:
+	case !s.hasLists && now.Sub(s.lastAnswer) > r.config.MaxLease && s.leasesExpired(now):
 		r.terminate("it never answered, and no lease lasts that long", now)
 	}
 }
--- a/core/command/hsrunner/runner.go
+++ b/core/command/hsrunner/runner.go
@@ -103,6 +103,8 @@
 	// current is nil until the endpoint announces itself.
 	current     *endpointState
 	generations int
+	// newestIncarnation is the highest incarnation of the endpoint that was announced to this process.
+	newestIncarnation hswork.EndpointIncarnation
 	// startBlocked holds the runs that must not be started because they were reported as ended or as never started.
 	startBlocked map[hswork.RunID]bool
 }
--- a/core/command/hsrunner/runner_test.go
+++ b/core/command/hsrunner/runner_test.go
@@ -351,6 +351,48 @@
 	h.check("incarnation", h.report.Endpoint.Incarnation, initialIncarnation)
 }
 
+// TestLateAnnouncementBesideSilentEndpoint checks that an announcement of an earlier incarnation, which arrives while the
+// later one is silent, doesn't shorten the time for which the lease of the later one is awaited. Its runs would be given
+// up and started elsewhere while they run.
+func TestLateAnnouncementBesideSilentEndpoint(t *testing.T) {
+	tables := []struct {
+		name   string
+		silent time.Duration
+		want   bool
+	}{
+		{"before the lease has expired", 7 * time.Second, false},
+		{"after it has expired on a slow clock", 11 * time.Second, true},
+	}
+	for _, tt := range tables {
+		h := newHarness(t)
+		for range 22 {
+			h.advance(500 * time.Millisecond)
+			h.answerHolds()
+		}
+		h.sendPlan(func(p *hsmessage.Plan) { p.Runs = []hsmessage.PlannedRun{plannedRun(0)} })
+		h.answerStart(hsrunner.CallDone)
+		h.running = []hsmessage.RunningTask{{Run: runID(0)}}
+		h.answerHolds()
+		terminated := false
+		silentUntil := h.now.Add(tt.silent)
+		silence := func(until time.Time) {
+			for h.now.Before(until) {
+				h.advance(100 * time.Millisecond)
+				h.dropHolds()
+				terminated = terminated || h.report.EndpointTerminated
+			}
+		}
+		silence(h.now.Add(2600 * time.Millisecond))
+		h.announce(initialIncarnation-10, 99, false)
+		h.dropHolds()
+		h.sendPlan(func(p *hsmessage.Plan) { p.EndpointIncarnation = h.report.Endpoint.Incarnation })
+		h.announce(initialIncarnation, 2, false)
+		h.answerHolds()
+		silence(silentUntil)
+		h.check(tt.name+": terminated", terminated, tt.want)
+	}
+}
+
 // TestLateShutdownNotice checks that a shutdown notice of another incarnation doesn't end the present one, whose runs
 // would be started a second time elsewhere.
 func TestLateShutdownNotice(t *testing.T) {
