hsagent: an endpoint that was replaced doesn't return by a late announcement

What callers could see: a running task is reported as lost, since a late announcement of the endpoint's earlier incarnation is taken for a restart.

Cause: HandleAnnouncement took every other incarnation for a newer one. Incarnations are random and have no order.

Evidence: the row "late announcement of the replaced endpoint" of TestOrders fails without the change (got "lost", want "running").

Why it works: the agent remembers the last 16 incarnations that were replaced and ignores their announcements. An endpoint that was only silent isn't among them.

--- a/core/command/hsagent/agent.go
+++ b/core/command/hsagent/agent.go
@@ -1,6 +1,7 @@
 package hsagent
 
 import (
+	"slices"
 	"time"
 
 	"hyssopseam/core/command/hsleaseclient"
@@ -22,6 +23,9 @@
 	dropped bool
 }
 
+// maxPreviousEndpoints is the number of earlier incarnations of the endpoint that are remembered.
+const maxPreviousEndpoints = 16
+
 // Agent implements the agent role of one process.
 type Agent struct {
 	config   Config
@@ -31,6 +35,10 @@
 
 	worker      hsmessage.Worker
 	announcedAt time.Time
+	// endpoint is the newest incarnation of the endpoint, also once its announcements have stopped, and
+	// previousEndpoints holds those before it. Incarnations are random, so their order can't be told from them.
+	endpoint          hsid.Incarnation
+	previousEndpoints []hsid.Incarnation
 	// tasksKnown is set once the platform has listed the endpoint's tasks, and listPending while the list is awaited.
 	tasksKnown  bool
 	listPending bool
@@ -72,8 +80,12 @@
 
 // HandleAnnouncement handles an announcement of the endpoint, which makes the worker available, or with Leaving set
 // stops it from taking new work. An announcement with another value of Endpoint means that the endpoint was
-// restarted.
+// restarted. One that was replaced before is ignored, as its announcement arrived late.
 func (a *Agent) HandleAnnouncement(w hsmessage.Worker) {
+	if slices.Contains(a.previousEndpoints, w.Endpoint) {
+		return
+	}
+	a.recordEndpoint(w.Endpoint)
 	w.Instance = a.config.Instance
 	w.Leaving = w.Leaving || a.draining
 	if w.Endpoint != a.worker.Endpoint {
@@ -91,6 +103,18 @@
 	a.sendIfDue()
 }
 
+// recordEndpoint records the newest incarnation of the endpoint.
+func (a *Agent) recordEndpoint(next hsid.Incarnation) {
+	if next == a.endpoint {
+		return
+	}
+	if a.endpoint != 0 {
+		a.previousEndpoints = append(a.previousEndpoints, a.endpoint)
+		a.previousEndpoints = a.previousEndpoints[max(0, len(a.previousEndpoints)-maxPreviousEndpoints):]
+	}
+	a.endpoint = next
+}
+
 // replaceEndpoint records the tasks on a replaced endpoint as lost and discards its list of tasks.
 func (a *Agent) replaceEndpoint(next hsid.Incarnation) {
 	if a.worker.Endpoint != 0 && next != 0 {
--- a/core/command/hsagent/agent_test.go
+++ b/core/command/hsagent/agent_test.go
@@ -72,6 +72,7 @@
 		{"orders for another incarnation are ignored", []string{"listed", "other"}, false, "[list]", ""},
 		{"leaving endpoint", []string{"listed", "leave", "hold"}, false, "[list]", hsmessage.TaskRefused},
 		{"endpoint replaced", []string{"listed", "hold", "run", "replace"}, false, "[list run list]", hsmessage.TaskLost},
+		{"late announcement of the replaced endpoint", []string{"listed", "replace", "listed again", "hold", "run", "late announcement"}, false, "[list list run]", hsmessage.TaskRunning},
 		{"hold without contact", []string{"listed", "hold", "silence"}, false, "[list]", ""},
 		{"run without contact", []string{"listed", "hold", "run", "silence"}, false, "[list run stop]", hsmessage.TaskRunning},
 		{"run of a once-only job without contact", []string{"listed", "hold", "run", "silence"}, true, "[list run]", hsmessage.TaskRunning},
@@ -111,6 +112,12 @@
 			case "replace":
 				worker.Endpoint = 2
 				a.HandleAnnouncement(worker)
+			case "listed again":
+				a.HandleTaskList(2, nil, true)
+			case "late announcement":
+				late := worker
+				late.Endpoint = 1
+				a.HandleAnnouncement(late)
 			case "silence":
 				fake.now = fake.now.Add(4 * time.Second)
 				a.Wake()
