hscontrol: copies of a request are decided by the one that was accepted

Cause: the leader appended the jobs and then the catalog without their key, and couldn't commit. The next leader committed both. The entries sent the requests again, and decideWork checked queue and key by the catalog in force before it looked whether the job existed. The same held for a dropped queue, the limit on open jobs and a cluster that is still forming.

Why it works: the submission in the log and the job carry the identifier of the request, which stays the same when an entry sends it again. A copy of the request that was accepted is acknowledged first of all. One whose submission is in the log and not applied yet gets no decision of its own; the first copy is answered when it is applied.

--- a/core/command/hscatalog/check.go
+++ b/core/command/hscatalog/check.go
@@ -94,6 +94,10 @@
 	return tasks <= maxTasks
 }
 
+// JobID returns the identifier of the step job that a path names, whatever queue the path belongs to: its end. It isn't
+// checked.
+func JobID(path string) hswork.ID { return hswork.ID(path[max(0, len(path)-idLength):]) }
+
 func validID(id hswork.ID) bool {
 	if len(id) != idLength {
 		return false
--- a/core/command/hscontrol/applied.go
+++ b/core/command/hscontrol/applied.go
@@ -1,11 +1,14 @@
 package hscontrol
 
 import (
+	"slices"
+
 	"hyssopseam/core/command/hslease"
 	"hyssopseam/core/hsfleet"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
+	"hyssopseam/core/hswork"
 )
 
 // onApplied reacts, on the leader, to an entry that was just applied, and answers the request behind it.
@@ -31,6 +34,9 @@
 		c.leader.passDue = true
 	case command.Work != nil:
 		c.leader.dispatcher.Applied(command.Work)
+		if command.Work.Submit != nil {
+			c.stepJobApplied(command.Work.Submit)
+		}
 		if command.Work.Upkeep != nil {
 			c.leader.maintenance.Applied(command.Work.Upkeep)
 		}
@@ -83,6 +89,18 @@
 	}
 }
 
+// stepJobApplied removes a submission from those in the log.
+func (c *Control) stepJobApplied(s *hswork.Submit) {
+	requests := c.leader.stepJobsInLog[s.Submission.ID]
+	if i := slices.Index(requests, s.Request); i >= 0 {
+		requests = slices.Delete(requests, i, i+1)
+	}
+	c.leader.stepJobsInLog[s.Submission.ID] = requests
+	if len(requests) == 0 {
+		delete(c.leader.stepJobsInLog, s.Submission.ID)
+	}
+}
+
 // onSubmitApplied queues a job that was accepted.
 func (c *Control) onSubmitApplied(r *hsstate.JobResult) {
 	if r.Verdict == hsstate.JobRefused {
--- a/core/command/hscontrol/leader.go
+++ b/core/command/hscontrol/leader.go
@@ -13,6 +13,7 @@
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
+	"hyssopseam/core/hswork"
 )
 
 // leaderState is the leader's state of one term that isn't replicated.
@@ -54,8 +55,10 @@
 	pendingReplies map[hsid.LogIndex]pendingReply
 	// submissionsInLog counts, for each job, the submissions that are appended to the log and not applied yet.
 	submissionsInLog map[hsid.JobID]int
-	jobWaiters       map[hsid.JobID][]waiter
-	ruleWaiters      []waiter
+	// stepJobsInLog holds, for each step job, the requests whose submissions are appended to the log and not applied yet.
+	stepJobsInLog map[hswork.ID][]hsid.RequestID
+	jobWaiters    map[hsid.JobID][]waiter
+	ruleWaiters   []waiter
 
 	// dirtyAgents holds the agents that are sent orders at the next flush. The lease is set when the orders
 	// answer a report, and nil otherwise.
@@ -117,6 +120,7 @@
 		tickets:          map[hsid.JobID][]memberTicket{},
 		pendingReplies:   map[hsid.LogIndex]pendingReply{},
 		submissionsInLog: map[hsid.JobID]int{},
+		stepJobsInLog:    map[hswork.ID][]hsid.RequestID{},
 		jobWaiters:       map[hsid.JobID][]waiter{},
 		dirtyAgents:      map[hsid.InstanceID]*hsmessage.Lease{},
 		lastPass:         now,
--- a/core/command/hscontrol/request.go
+++ b/core/command/hscontrol/request.go
@@ -50,11 +50,14 @@
 }
 
 // proposeAndReply appends a command and answers the request once the command is applied. If leadership is lost
-// before that, the request isn't answered, and the entry sends it to the next leader.
-func (c *Control) proposeAndReply(p pendingReply, command hsstate.Command) {
-	if index, ok := c.propose(command); ok {
+// before that, the request isn't answered, and the entry sends it to the next leader. It reports whether the command was
+// appended.
+func (c *Control) proposeAndReply(p pendingReply, command hsstate.Command) bool {
+	index, ok := c.propose(command)
+	if ok {
 		c.leader.pendingReplies[index] = p
 	}
+	return ok
 }
 
 // handleSubmit proposes a submission unless the job is refused at once. A job that exists, or whose submission is in
--- a/core/command/hscontrol/work.go
+++ b/core/command/hscontrol/work.go
@@ -1,10 +1,12 @@
 package hscontrol
 
 import (
+	"slices"
 	"time"
 
 	"hyssopseam/core/command/hscatalog"
 	"hyssopseam/core/command/hsdispatch"
+	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
 	"hyssopseam/core/hswork"
@@ -55,16 +57,22 @@
 }
 
 // handleWork handles a request about step jobs. The leader decides all of them by the newest committed catalog, so a
-// catalog comes into force everywhere at once.
+// catalog comes into force everywhere at once. A request that an earlier copy of it has already carried out is decided
+// by that copy, whatever has changed since.
 func (c *Control) handleWork(p pendingReply, q *hsmessage.WorkRequest) {
-	reply, command := c.decideWork(q)
+	if q.Action == hsmessage.WorkSubmit && slices.Contains(c.leader.stepJobsInLog[hscatalog.JobID(q.Path)], p.id) {
+		return // The earlier copy is answered once it is applied.
+	}
+	reply, command := c.decideWork(p.id, q)
 	if command == nil {
 		c.replyToWork(p, q, reply)
 		return
 	}
 	p.workReply = &reply
 	c.ports.Work.WorkAnswered(p.id, q, reply, c.state.Work.Catalog.Version)
-	c.proposeAndReply(p, hsstate.Command{Work: command})
+	if s := command.Submit; c.proposeAndReply(p, hsstate.Command{Work: command}) && s != nil {
+		c.leader.stepJobsInLog[s.Submission.ID] = append(c.leader.stepJobsInLog[s.Submission.ID], s.Request)
+	}
 }
 
 // replyToWork answers a request that needs no command.
@@ -77,9 +85,9 @@
 	c.reply(p, r)
 }
 
-// decideWork returns the answer to a request, and the command that must be committed before the answer is sent; nil
-// for none.
-func (c *Control) decideWork(q *hsmessage.WorkRequest) (hsmessage.WorkReply, *hswork.Command) {
+// decideWork returns the answer to a request with the given identifier, and the command that must be committed before
+// the answer is sent; nil for none.
+func (c *Control) decideWork(request hsid.RequestID, q *hsmessage.WorkRequest) (hsmessage.WorkReply, *hswork.Command) {
 	switch q.Action {
 	case hsmessage.WorkPutCatalog:
 		return c.putCatalog(q.Catalog)
@@ -96,6 +104,9 @@
 	if s.Catalog.Version == 0 {
 		return workReply(hsmessage.WorkNotReady), nil
 	}
+	if q.Action == hsmessage.WorkSubmit && c.accepted(request, hscatalog.JobID(q.Path)) {
+		return workReply(hsmessage.WorkDone), nil
+	}
 	queue, rest, ok := s.Catalog.Match(q.Host, q.Path)
 	if !ok {
 		return workReply(hsmessage.WorkNoQueue), nil
@@ -109,7 +120,7 @@
 		waiting := hsprogress.CountWaiting(s, queue.Name, c.leader.dispatcher.HasStarted)
 		return hsmessage.WorkReply{Verdict: hsmessage.WorkDone, Waiting: waiting}, nil
 	case hsmessage.WorkSubmit:
-		return c.submitWork(queue, owner, id, q.Submission)
+		return c.submitWork(request, queue, owner, id, q.Submission)
 	case hsmessage.WorkState:
 		j := s.Jobs[id]
 		if j == nil {
@@ -148,14 +159,22 @@
 	return hsmessage.WorkReply{Verdict: hsmessage.WorkDone, Content: catalog.Content, Version: catalog.Version}
 }
 
-// submitWork accepts a step job. A job that exists already, in whatever state, is acknowledged again.
-func (c *Control) submitWork(q *hswork.Queue, owner *hswork.Workspace, id hswork.ID, s *hswork.Submission) (hsmessage.WorkReply, *hswork.Command) {
+// accepted reports whether a step job was accepted by an earlier copy of the same request.
+func (c *Control) accepted(request hsid.RequestID, id hswork.ID) bool {
+	j := c.state.Work.Jobs[id]
+	return j != nil && j.Request == request && request != ""
+}
+
+// submitWork accepts a step job. A job that exists already, in whatever state, is acknowledged again, and one whose
+// submission is in the log isn't refused.
+func (c *Control) submitWork(request hsid.RequestID, q *hswork.Queue, owner *hswork.Workspace, id hswork.ID, s *hswork.Submission) (hsmessage.WorkReply, *hswork.Command) {
 	work := c.state.Work
 	switch {
 	case s == nil || !hscatalog.ValidSubmission(id, s):
 		return workReply(hsmessage.WorkBad), nil
 	case work.Jobs[id] != nil:
 		return workReply(hsmessage.WorkDone), nil
+	case len(c.leader.stepJobsInLog[id]) > 0:
 	case !c.clusterFormed():
 		return workReply(hsmessage.WorkNotReady), nil
 	case len(work.Jobs)-len(work.Ended) >= maxOpenStepJobs:
@@ -172,6 +191,7 @@
 		Stretch:     q.Stretch,
 		Target:      q.Target,
 		NeedsPermit: q.NeedsPermit,
+		Request:     request,
 	}
 	if owner != nil {
 		command.Workspace = owner.Name
