hsentry: a refusal isn't passed on while another copy may be accepted

What callers could see: 429, 503, 401 or 404 for a request of which another copy is accepted later, for example when a busy leader refuses the first copy for too many open jobs and has room again when the second one, sent after 0.2 s, is its turn.

Cause: an entry that had sent a request more than once passed the first refusal on as certain.

Why it works: an entry counts the copies that each control replica hasn't answered. While there are any, a refusal that depends on the state is reported as unknown (504), after which callers try again under the same identifier. Refusals of queries, of invalid content and of requests that were sent once are passed on as before.

--- a/core/command/hsentry/entry.go
+++ b/core/command/hsentry/entry.go
@@ -3,7 +3,7 @@
 //
 // A request is resent with the same identifier until it is answered or its timeout expires; requests are idempotent,
 // so a resend has no further effect. After a timeout the answer is that the outcome is unknown, never that nothing
-// was done. Submissions need a valid rules lease: an entry that can't renew its lease refuses them as not run. A request
+// was done, and a refusal is passed on only if no other copy of the request may have been accepted. Submissions need a valid rules lease: an entry that can't renew its lease refuses them as not run. A request
 // about step jobs that arrives while the leader's answer to a renewal is late waits briefly, unsent, and is then refused
 // too: had it been sent, its caller couldn't be told that it had no effect.
 //
@@ -98,6 +98,8 @@
 	backoff  time.Duration
 	// timeout is that of the caller, counted from when the request arrived.
 	timeout time.Duration
+	// copies counts, for each control replica, the copies of the request that it hasn't answered.
+	copies map[hsstate.Peer]int
 }
 
 // Entry implements the entry role of one process.
@@ -154,7 +156,7 @@
 		e.ports.Answerer.Answer(Refuse(&m, reason))
 		return m.ID
 	}
-	p := &pendingRequest{request: m, deadline: now.Add(timeout), backoff: initialBackoff}
+	p := &pendingRequest{request: m, deadline: now.Add(timeout), backoff: initialBackoff, copies: map[hsstate.Peer]int{}}
 	e.pending[m.ID] = p
 	if m.Work != nil && e.leaseClient.AnswerLate() {
 		p.unsent = true
@@ -263,6 +265,9 @@
 		e.strayAnswers++
 		return
 	}
+	if p.copies[from]--; p.copies[from] <= 0 {
+		delete(p.copies, from)
+	}
 	if m.Status == hsmessage.StatusNotLeader {
 		e.leaseClient.FollowRedirect(from, m.Leader)
 		now := e.ports.Clock.Now()
@@ -270,9 +275,34 @@
 		return
 	}
 	delete(e.pending, m.ID)
+	if len(p.copies) > 0 && refuses(&p.request, &m) {
+		m = hsmessage.Reply{ID: m.ID, Status: hsmessage.StatusUnknown, Reason: "an earlier copy of the request may have been accepted", RetryAfter: refusedRetryAfter}
+	}
 	e.ports.Answerer.Answer(m)
 }
 
+// refuses reports whether a reply refuses a request that changes state for a reason that may not hold for another copy
+// of the request, which was or will be decided at another time.
+func refuses(q *hsmessage.Request, r *hsmessage.Reply) bool {
+	switch {
+	case r.Status == hsmessage.StatusRefused:
+		return true
+	case q.Members != nil:
+		return r.Status == hsmessage.StatusMissing || r.Status == hsmessage.StatusConflict
+	case q.Work == nil || r.Work == nil:
+		return false
+	}
+	switch q.Work.Action {
+	case hsmessage.WorkState, hsmessage.WorkWaiting, hsmessage.WorkGetCatalog, hsmessage.WorkGetWave:
+		return false
+	}
+	switch r.Work.Verdict {
+	case hsmessage.WorkNoQueue, hsmessage.WorkNoKey, hsmessage.WorkNotReady, hsmessage.WorkOverloaded:
+		return true
+	}
+	return false
+}
+
 // PeerUnreachable handles the notice that a control replica can't be reached. If it is the one in use, another is
 // tried.
 func (e *Entry) PeerUnreachable(peer hsstate.Peer) {
@@ -373,6 +403,7 @@
 	p.resendAt = now.Add(p.backoff + jitter)
 	p.backoff = min(2*p.backoff, maxBackoff)
 	for _, peer := range e.leaseClient.Targets() {
+		p.copies[peer]++
 		e.ports.Sender.Send(peer, p.request)
 	}
 }
--- a/core/command/hsentry/entry_test.go
+++ b/core/command/hsentry/entry_test.go
@@ -69,6 +69,56 @@
 	}
 }
 
+// TestRefusalAfterResend checks that a refusal isn't passed on while another copy of the request may have been accepted: its
+// caller would take the request for one that never runs.
+func TestRefusalAfterResend(t *testing.T) {
+	submit := hsmessage.Request{Work: &hsmessage.WorkRequest{Action: hsmessage.WorkSubmit}}
+	state := hsmessage.Request{Work: &hsmessage.WorkRequest{Action: hsmessage.WorkState}}
+	verdict := func(v hsmessage.WorkVerdict) hsmessage.Reply {
+		return hsmessage.Reply{Status: hsmessage.StatusDone, Work: &hsmessage.WorkReply{Verdict: v}}
+	}
+	notLeader := hsmessage.Reply{Status: hsmessage.StatusNotLeader, Leader: "c"}
+	refused := hsmessage.Reply{Status: hsmessage.StatusRefused}
+	tables := []struct {
+		name    string
+		request hsmessage.Request
+		// resent is how often the request is sent again before the replies.
+		resent  int
+		replies []hsmessage.Reply
+		want    hsmessage.Status
+	}{
+		{"a single copy", submit, 0, []hsmessage.Reply{verdict(hsmessage.WorkNoKey)}, hsmessage.StatusDone},
+		{"two copies, unknown key", submit, 1, []hsmessage.Reply{verdict(hsmessage.WorkNoKey)}, hsmessage.StatusUnknown},
+		{"two copies, no queue", submit, 1, []hsmessage.Reply{verdict(hsmessage.WorkNoQueue)}, hsmessage.StatusUnknown},
+		{"two copies, overloaded", submit, 1, []hsmessage.Reply{verdict(hsmessage.WorkOverloaded)}, hsmessage.StatusUnknown},
+		{"two copies, not ready", submit, 1, []hsmessage.Reply{verdict(hsmessage.WorkNotReady)}, hsmessage.StatusUnknown},
+		{"two copies, one of them not accepted", submit, 1, []hsmessage.Reply{notLeader, verdict(hsmessage.WorkNoKey)}, hsmessage.StatusDone},
+		{"two copies, invalid in any case", submit, 1, []hsmessage.Reply{verdict(hsmessage.WorkBad)}, hsmessage.StatusDone},
+		{"two copies, accepted", submit, 1, []hsmessage.Reply{verdict(hsmessage.WorkDone)}, hsmessage.StatusDone},
+		{"two copies of a query", state, 1, []hsmessage.Reply{verdict(hsmessage.WorkNoKey)}, hsmessage.StatusDone},
+		{"two copies of a change of members", hsmessage.Request{Members: &hsmessage.MembersChange{}}, 1, []hsmessage.Reply{{Status: hsmessage.StatusMissing}}, hsmessage.StatusUnknown},
+		{"two copies of a job of the product", hsmessage.Request{Submit: &hsstate.SubmitJob{}}, 1, []hsmessage.Reply{refused}, hsmessage.StatusUnknown},
+	}
+	for _, tt := range tables {
+		p := &fakePorts{now: time.Unix(10, 0)}
+		e := hsentry.New(hsentry.Config{Instance: "e", Controls: []hsstate.Peer{"c"}}, hsentry.Ports{Clock: p, Random: p, Sender: p, Answerer: p})
+		e.Wake()
+		e.Receive("c", hsmessage.Lease{Term: 1, Sequence: 1, Duration: 10 * time.Second, Number: 1, Rules: &hsstate.RuleSet{Number: 1}})
+		id := e.Do(tt.request, 30*time.Second)
+		for range tt.resent {
+			p.now = p.now.Add(210 * time.Millisecond)
+			e.Wake()
+		}
+		for _, r := range tt.replies {
+			r.ID = id
+			e.Receive("c", r)
+		}
+		if len(p.answers) != 1 || p.answers[0].Status != tt.want {
+			t.Errorf("%s: got answers %+v, want one %s", tt.name, p.answers, tt.want)
+		}
+	}
+}
+
 // TestUnsentRequest checks what happens to a request about step jobs by when it arrives around the loss of the leader.
 // Pattern: all control processes lose power while callers go on; a request that was sent into the void can't be tried
 // again safely, and one that was held until its deadline left its caller without an answer.
