hscontrol: a job whose submission is in the log can be cancelled

What callers could see: 410 for the cancellation of a job, which then runs.

Cause: cancelWork looked only at the applied state. A submission that is appended and not yet committed isn't in it.

Evidence: TestCancelBehindSubmission fails without the change (got "noJob" for a job that runs).

Why it works: with a submission of the job in the log the cancellation is appended too, behind it.

--- a/core/command/hscontrol/work.go
+++ b/core/command/hscontrol/work.go
@@ -199,9 +199,11 @@
 	return workReply(hsmessage.WorkDone), &hswork.Command{Submit: command}
 }
 
+// cancelWork cancels a step job. One whose submission is in the log exists by the time the cancellation is applied.
 func (c *Control) cancelWork(id hswork.ID) (hsmessage.WorkReply, *hswork.Command) {
 	j := c.state.Work.Jobs[id]
 	switch {
+	case len(c.leader.stepJobsInLog[id]) > 0:
 	case j == nil:
 		return workReply(hsmessage.WorkNoJob), nil
 	case j.Phase != hswork.Open:
--- a/test/whole/refusal_test.go
+++ b/test/whole/refusal_test.go
@@ -38,6 +38,20 @@
 	return w
 }
 
+// cutLeader lets the leader hear nothing from the other replicas until w.Heal, and returns its address.
+func cutLeader(w *play.World) hsstate.Peer {
+	var leader hsstate.Peer
+	for _, n := range w.Controls {
+		if n.Role().Leading() {
+			leader = n.Peer()
+		}
+	}
+	for _, n := range w.Controls {
+		w.Disconnect(n.Peer(), leader, true)
+	}
+	return leader
+}
+
 func verdictText(v hsmessage.WorkVerdict) string { return string(v) }
 
 // ask sends a request and returns where its outcome will be: the verdict, or the status of a reply without one.
@@ -71,15 +85,7 @@
 	for _, tt := range tables {
 		for seed := range uint64(5) {
 			w := newRefusalWorld(t, seed)
-			var leader hsstate.Peer
-			for _, n := range w.Controls {
-				if n.Role().Leading() {
-					leader = n.Peer()
-				}
-			}
-			for _, n := range w.Controls {
-				w.Disconnect(n.Peer(), leader, true)
-			}
+			cutLeader(w)
 			job := ask(w, submitRequest("old"))
 			w.Run(20 * time.Millisecond)
 			catalog := ask(w, &hsmessage.WorkRequest{Action: hsmessage.WorkPutCatalog, Catalog: tt.next})
@@ -116,3 +122,19 @@
 		}
 	}
 }
+
+// TestCancelBehindSubmission cancels a job whose submission isn't committed yet. Its caller must not be told that there
+// is no such job, as it would run.
+func TestCancelBehindSubmission(t *testing.T) {
+	w := newRefusalWorld(t, 1)
+	job := ask(w, submitRequest("old"))
+	cancel := ask(w, &hsmessage.WorkRequest{Action: hsmessage.WorkCancel, Host: workHost, Path: refusalPath, Key: "old"})
+	w.Await(10*time.Second, func() bool { return *job != "" && *cancel != "" })
+	j := w.Leader().State().Work.Jobs[refusalJob]
+	if j == nil {
+		t.Fatalf("got no job, want one; it was answered %q", *job)
+	}
+	if *cancel == verdictText(hsmessage.WorkNoJob) && j.Phase == hswork.Open {
+		t.Errorf("got %q for the cancellation of a job that runs, want %q", *cancel, hsmessage.WorkDone)
+	}
+}
