hscontrol: a rule doesn't refuse a job that was accepted before it

What callers could see: 400 for a job without a key, which then runs: the entry sent the request again after a change of leader, and meanwhile a rule had come into force by which jobs of its kind need a key.

Cause: handleSubmit checked that rule before it looked whether the job exists or is in the log.

Why it works: the rule is checked with the other reasons to refuse, only for a job that isn't known yet.

--- a/core/command/hscontrol/request.go
+++ b/core/command/hscontrol/request.go
@@ -63,14 +63,14 @@
 // handleSubmit proposes a submission unless the job is refused at once. A job that exists, or whose submission is in
 // the log already, isn't refused: an earlier request with the same key may have accepted it.
 func (c *Control) handleSubmit(p pendingReply, s *hsstate.SubmitJob) {
-	if c.state.Rules.InForce.IsOnce(s.Spec.Kind) && s.Spec.Key == "" {
-		c.reply(p, hsmessage.Reply{
-			Status: hsmessage.StatusBad,
-			Reason: fmt.Sprintf("jobs of kind %s never run twice and need an idempotency key", s.Spec.Kind),
-		})
-		return
-	}
 	if c.state.Jobs[s.ID] == nil && c.leader.submissionsInLog[s.ID] == 0 {
+		if c.state.Rules.InForce.IsOnce(s.Spec.Kind) && s.Spec.Key == "" {
+			c.reply(p, hsmessage.Reply{
+				Status: hsmessage.StatusBad,
+				Reason: fmt.Sprintf("jobs of kind %s never run twice and need an idempotency key", s.Spec.Kind),
+			})
+			return
+		}
 		if reason, retry := c.refusal(s); reason != "" {
 			result := &hsstate.JobResult{Verdict: hsstate.JobRefused, ID: s.ID, Reason: reason}
 			result.Rules = c.state.Rules.InForce.Number
--- a/test/whole/refusal_test.go
+++ b/test/whole/refusal_test.go
@@ -6,6 +6,7 @@
 
 	"hyssopseam/core/command/hscontrol"
 	"hyssopseam/core/hsmessage"
+	"hyssopseam/core/hsshape"
 	"hyssopseam/core/hsstate"
 	"hyssopseam/core/hswork"
 	"hyssopseam/internal/play"
@@ -138,3 +139,32 @@
 		t.Errorf("got %q for the cancellation of a job that runs, want %q", *cancel, hsmessage.WorkDone)
 	}
 }
+
+// TestOnceRuleBehindSubmission pushes a rule by which a job without a key would be refused, behind the submission of such
+// a job, while the leader can't commit. The next leader commits both, and the caller must not be told that the job was
+// refused.
+func TestOnceRuleBehindSubmission(t *testing.T) {
+	for seed := range uint64(5) {
+		w := newRefusalWorld(t, seed)
+		w.AddWorker(play.Worker{ID: "w1", Rack: "r1", Accelerators: 8}).Plans = planOf
+		push := func(content string) *hsmessage.Status {
+			status := new(hsmessage.Status)
+			w.Entry.Push(content, "ama", func(r hsmessage.Reply) { *status = r.Status })
+			return status
+		}
+		first := push("number 1\n")
+		w.Await(10*time.Second, func() bool { return *first != "" })
+		w.Run(3 * time.Second)
+		leader := cutLeader(w)
+		var job hsmessage.Reply
+		w.Entry.Submit(hsstate.Spec{Workspace: "a", Kind: "order", Shape: hsshape.Shape{Workers: 1, PerWorker: 1}}, func(r hsmessage.Reply) { job = r })
+		w.Run(20 * time.Millisecond)
+		second := push("number 2\nonce job=order # test\n")
+		w.Run(4 * time.Second)
+		w.Heal()
+		w.Await(20*time.Second, func() bool { return job.Status != "" && *second != "" })
+		if job.Status != hsmessage.StatusDone || *second != hsmessage.StatusDone {
+			t.Errorf("seed %d, leader %s: got %s (%s) for the job and %s for the rules, want done", seed, leader, job.Status, job.Reason, *second)
+		}
+	}
+}
