hsrunner: a run that can't start is reported to the next leader too

Cause: a run that was stopped before it began is blocked on the runner, which reports that until a plan leaves the run out. The leader leaves it out once its end is proposed. When the leader is lost before the end is committed, the next one plans the run again, and the runner, which has forgotten the report, neither starts it nor reports it. A run whose stop was refused or not answered was stuck in the same way: start saw a stop, and no plan asked for the stop.

TestEndForgottenByNextLeader fails in all three rows without the change.

Why it works: a blocked run is reported again whenever a plan names it, and a stop of a run that a later plan names is repeated until lists that were requested after its confirmation settle it. Runs that the endpoint lists as running or ended are left alone.

--- a/core/command/hsrunner/reconcile.go
+++ b/core/command/hsrunner/reconcile.go
@@ -27,7 +27,14 @@
 	for i := range r.plan.Runs {
 		p := &r.plan.Runs[i]
 		wanted[p.Run] = true
-		if r.canStart(s, p, now) {
+		switch {
+		case s.isRunning(p.Run) || s.hasEnded(p.Run):
+		case r.startBlocked[p.Run]:
+			r.reportNeverStarted(s, p.Run)
+		case s.calls[p.Run] != nil && s.calls[p.Run].stop:
+			// An earlier plan had the run stopped. It is neither running nor blocked until the stop is confirmed.
+			r.stop(s, p.Run, now)
+		case r.canStart(s, p, now):
 			r.start(s, p, now)
 		}
 	}
@@ -44,6 +51,15 @@
 	}
 }
 
+// reportNeverStarted reports a run that can't start, unless that is reported already. The end of a run that was reported
+// before may not have been committed: the leader at that time may have lost its leadership.
+func (r *Runner) reportNeverStarted(s *endpointState, run hswork.RunID) {
+	if !s.neverStarted[run] {
+		s.neverStarted[run] = true
+		r.reportDue = true
+	}
+}
+
 // hold asks the endpoint for its lists, and extends its lease up to the end of the leader's grant. One long poll is
 // kept open; a new acknowledgement or a higher fence is sent at once beside it.
 func (r *Runner) hold(s *endpointState, now time.Time) {
@@ -119,9 +135,9 @@
 	}
 }
 
-// canStart reports whether a planned run is missing on the endpoint and nothing forbids starting it.
+// canStart reports whether nothing forbids starting a planned run that the endpoint doesn't list.
 func (r *Runner) canStart(s *endpointState, p *hsmessage.PlannedRun, now time.Time) bool {
-	if s.isRunning(p.Run) || s.hasEnded(p.Run) || s.neverStarted[p.Run] || r.startBlocked[p.Run] || p.Listed {
+	if s.neverStarted[p.Run] || p.Listed {
 		return false
 	}
 	if _, refused := s.refused[p.Run]; refused || s.endpoint.Leaving || s.unconfirmed {
--- a/core/command/hsrunner/runner_test.go
+++ b/core/command/hsrunner/runner_test.go
@@ -220,6 +220,55 @@
 	h.check("never started, by lists requested after the stop", h.report.NeverStarted, []hswork.RunID{runID(0)})
 }
 
+// TestEndForgottenByNextLeader checks that a run that can't start is reported again when a plan names it again: the leader
+// that was told of it left it out of its plans before its end was committed, and lost the leadership.
+func TestEndForgottenByNextLeader(t *testing.T) {
+	planRun := func(h *harness) {
+		h.sendPlan(func(p *hsmessage.Plan) { p.Term, p.Runs = 4, []hsmessage.PlannedRun{plannedRun(0)} })
+	}
+	stopResult := func(h *harness, v hsrunner.Verdict) {
+		h.runner.HandleStopResult(runID(0), hsrunner.CallResult{Generation: 1, Verdict: v, Clock: h.reading()})
+	}
+	tables := []struct {
+		name string
+		play func(h *harness)
+	}{
+		{"a run that was reported as never started", func(h *harness) {
+			stopResult(h, hsrunner.CallDone)
+			h.answerHolds()
+			h.check("never started, to the first leader", h.report.NeverStarted, []hswork.RunID{runID(0)})
+			h.sendPlan(func(*hsmessage.Plan) {})
+			h.advance(time.Second)
+			h.check("never started, once the plan leaves it out", len(h.report.NeverStarted), 0)
+			planRun(h)
+		}},
+		{"a run whose stop was refused", func(h *harness) {
+			stopResult(h, hsrunner.CallRefused)
+			planRun(h)
+			h.advance(time.Second)
+			h.check("calls until the stop is answered", h.calls, []string{"stop j.0.0.0/1", "stop j.0.0.0/1"})
+			stopResult(h, hsrunner.CallDone)
+			h.answerHolds()
+		}},
+		{"a run whose stop got no answer", func(h *harness) {
+			stopResult(h, hsrunner.CallNoAnswer)
+			planRun(h)
+			h.advance(time.Second)
+			h.check("calls until the stop is answered", h.calls, []string{"stop j.0.0.0/1", "stop j.0.0.0/1"})
+			stopResult(h, hsrunner.CallDone)
+			h.answerHolds()
+		}},
+	}
+	for _, tt := range tables {
+		h := newHarness(t)
+		h.sendPlan(func(p *hsmessage.Plan) { p.Stops = []hswork.RunID{runID(0)} })
+		tt.play(h)
+		h.advance(time.Second)
+		h.check(tt.name+": never started", h.report.NeverStarted, []hswork.RunID{runID(0)})
+		h.check(tt.name+": starts", len(h.starts), 0)
+	}
+}
+
 // TestEndAcknowledgement checks that ends are acknowledged only up to the number in the plan, and not while the
 // endpoint may have restarted.
 func TestEndAcknowledgement(t *testing.T) {
