hsrunner: an incarnation that its endpoint contradicts may be replaced by an earlier one

Cause: the runner didn't use what it learns from holds: another endpoint or incarnation that answers at the address shows that the announced one is over, or never was.

Evidence: TestAnnouncementOfNobody fails without the condition (got 1000077, want 77).

Why it works: an earlier incarnation is accepted once a hold was answered by another endpoint (421) or with another start. Without an answer the leases are awaited as before.

--- a/core/command/hsrunner/lifecycle.go
+++ b/core/command/hsrunner/lifecycle.go
@@ -49,6 +49,8 @@
 	shutdownAt time.Time
 	// terminated is set once nothing that was started on this incarnation can be running any more.
 	terminated bool
+	// replaced is set once another endpoint or incarnation has answered a hold to this one.
+	replaced bool
 	// unconfirmed is set by an unanswered call until a hold confirms that this incarnation is still alive. Meanwhile
 	// no run is started and no end is acknowledged: the next incarnation has the same identifier and would take both
 	// as its own.
@@ -79,12 +81,13 @@
 }
 
 // HandleAnnouncement handles an announcement of the endpoint. It returns false for one of an earlier incarnation while
-// runs of the later one may be running: it arrived late and is ignored.
+// runs of the later one may be running: it arrived late and is ignored. If another incarnation has answered at the address of
+// the later one, that one is over, or never was.
 func (r *Runner) HandleAnnouncement(a Announcement) bool {
 	now := r.ports.Clock.Now()
 	s := r.current
 	if s != nil && (s.endpoint.ID != a.Endpoint.ID || s.endpoint.Incarnation != a.Endpoint.Incarnation) {
-		if a.Endpoint.Incarnation < s.endpoint.Incarnation && !s.terminated {
+		if a.Endpoint.Incarnation < s.endpoint.Incarnation && !s.terminated && !s.replaced {
 			return false
 		}
 		s = nil
--- a/core/command/hsrunner/reconcile.go
+++ b/core/command/hsrunner/reconcile.go
@@ -295,6 +295,7 @@
 		s.nextHold = now
 	}
 	if res.Verdict != CallDone || res.EndpointIncarnation != s.endpoint.Incarnation {
+		s.replaced = s.replaced || res.Verdict == CallDone || res.Verdict == CallWrongIncarnation
 		s.nextHold = now.Add(holdRetryInterval)
 		s.unconfirmed = true
 	} else {
--- a/core/command/hsrunner/runner_test.go
+++ b/core/command/hsrunner/runner_test.go
@@ -442,6 +442,18 @@
 	}
 }
 
+// TestAnnouncementOfNobody checks that an announcement with a start far in the future, as another writer may send, doesn't
+// keep the runner from its endpoint once that has answered.
+func TestAnnouncementOfNobody(t *testing.T) {
+	h := newHarness(t)
+	h.announce(initialIncarnation+1_000_000, 1, false)
+	h.check("incarnation before the endpoint has answered", h.report.Endpoint.Incarnation, initialIncarnation+1_000_000)
+	h.answerHolds()
+	h.announce(initialIncarnation, 2, false)
+	h.advance(time.Second)
+	h.check("incarnation after the endpoint's next announcement", h.report.Endpoint.Incarnation, initialIncarnation)
+}
+
 // TestLateShutdownNotice checks that a shutdown notice of another incarnation doesn't end the present one, whose runs
 // would be started a second time elsewhere.
 func TestLateShutdownNotice(t *testing.T) {
