hsplatform: one odd entry doesn't spoil an endpoint's list of tasks

What callers could see: a worker that takes no jobs, as its agent never learns what runs there. An entry without a job was adopted as a running task.

Cause: the list was decoded as a whole, and records were built also from entries that failed.

Evidence: TestOddTask fails in all eight rows without the change, in the first two without any list.

Why it works: entries are decoded one by one; those that name no job are logged and left out, and values nested very deeply are read as null.

--- a/io/hsplatform/platform.go
+++ b/io/hsplatform/platform.go
@@ -19,6 +19,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -32,6 +33,7 @@
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/io/hsendpoint"
+	"hyssopseam/io/hsjson"
 )
 
 const (
@@ -94,30 +96,40 @@
 	p.client.CloseIdleConnections()
 }
 
-// List requests the list of tasks from the endpoint. From then on the endpoint refuses starts from earlier agents.
+// List requests the list of tasks from the endpoint. From then on the endpoint refuses starts from earlier agents. Entries
+// that name no task are logged and left out.
 func (p *Platform) List(endpoint, agent hsid.Incarnation) {
 	p.goroutines.Go(func() {
-		var list []hsendpoint.TaskBody
+		var list []json.RawMessage
 		err := p.do(p.context, http.MethodGet, fmt.Sprintf("/tasks?agent=%d", agent), nil, &list)
 		if err != nil {
 			p.log.Warn("listing tasks failed", "error", err)
 		}
-		records := make([]hsagent.Record, 0, len(list))
-		for i := range list {
-			records = append(records, recordOf(&list[i]))
+		records, invalid := hsjson.DecodeEntries(list, decodeRecord)
+		if invalid != nil {
+			p.log.Warn("invalid entries in the list of tasks are ignored", "error", invalid)
 		}
 		p.events.HandleTaskList(endpoint, records, err == nil)
 	})
 }
 
-func recordOf(t *hsendpoint.TaskBody) hsagent.Record {
+var errNoTask = errors.New("hsplatform: the entry names no task")
+
+func decodeRecord(entry json.RawMessage) (hsagent.Record, error) {
+	var t hsendpoint.TaskBody
+	if err := json.Unmarshal(entry, &t); err != nil {
+		return hsagent.Record{}, fmt.Errorf("hsplatform: %w", err)
+	}
+	if t.Job == "" {
+		return hsagent.Record{}, errNoTask
+	}
 	return hsagent.Record{
 		Grant:        t.Grant(),
 		Accelerators: t.Accelerators,
 		Once:         t.AtMostOnce,
 		Running:      t.Outcome == "",
-		Result:       resultOf(t),
-	}
+		Result:       resultOf(&t),
+	}, nil
 }
 
 func resultOf(t *hsendpoint.TaskBody) hsagent.Result {
@@ -273,7 +285,7 @@
 		return fmt.Errorf("hsplatform: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(response.Body, int64(hsendpoint.MaxBody)))
+	content, err := io.ReadAll(io.LimitReader(hsjson.LimitDepth(response.Body), int64(hsendpoint.MaxBody)))
 	if err != nil {
 		return fmt.Errorf("hsplatform: %w", err)
 	}
