hsendpoint: an announcement needs an address that can be connected to

What callers could see: after an announcement of another writer with a port out of range the agent called that address, and all of its calls failed until the endpoint announced itself again.

Cause: the address was only split into host and port, and sizes were only checked to be positive, also where sums overflow.

Why it works: the announcement is checked as a whole before any of it is used: the host is named, the port is between 1 and 65535, and sizes and names have limits far beyond any machine.

--- a/io/hsendpoint/protocol.go
+++ b/io/hsendpoint/protocol.go
@@ -22,6 +22,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/url"
 	"strconv"
 
@@ -33,6 +34,14 @@
 // MaxBody is the largest size of a request or response body of this protocol.
 const MaxBody = 4 * hsid.MiB
 
+// Limits of an announcement, far beyond any machine; sums over a fleet don't overflow.
+const (
+	maxMilliCores = 1e9
+	maxMemory     = 1 << 50
+	// maxName limits names in bytes, as they are sent with every report.
+	maxName = 256
+)
+
 // Announcement is the body of PUT /v1/endpoint.
 type Announcement struct {
 	// Endpoint distinguishes one start of the endpoint from the next. It must not be zero.
@@ -65,6 +74,12 @@
 	if a.Endpoint == 0 || a.Rack == "" || a.MilliCores < 0 || a.MemoryBytes < 0 || a.Slots < 0 {
 		return w, fmt.Errorf("hsendpoint: endpoint and rack are required, and sizes must not be negative")
 	}
+	if a.MilliCores > maxMilliCores || a.MemoryBytes > maxMemory || len(a.Rack) > maxName || len(a.Zone) > maxName {
+		return w, fmt.Errorf("hsendpoint: at most %d thousandths of a core, %d bytes of memory and names of %d bytes are possible", hsid.MilliCores(maxMilliCores), hsid.Bytes(maxMemory), maxName)
+	}
+	if err := checkAddress(a.Address); err != nil {
+		return w, err
+	}
 	seen := map[hsid.AcceleratorIndex]bool{}
 	for _, g := range a.Groups {
 		for i, x := range g {
@@ -77,6 +92,18 @@
 	return w, nil
 }
 
+// checkAddress returns an error unless an address has a host and a port that can be connected to.
+func checkAddress(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return fmt.Errorf("hsendpoint: address: %w", err)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || host == "" {
+		return fmt.Errorf("hsendpoint: address: %.100q has no host or no valid port", address)
+	}
+	return nil
+}
+
 // StartBody is the body of a start request.
 type StartBody struct {
 	Agent        hsid.Incarnation `json:"agent"`
--- a/io/hsserver/server.go
+++ b/io/hsserver/server.go
@@ -239,10 +239,6 @@
 		hsproblem.Write(w, hsproblem.New(http.StatusBadRequest, hsproblem.BadRequest, err.Error()))
 		return
 	}
-	if _, _, err := net.SplitHostPort(a.Address); err != nil {
-		hsproblem.Write(w, hsproblem.New(http.StatusBadRequest, hsproblem.BadRequest, "address: "+err.Error()))
-		return
-	}
 	s.platform.SetAddress(a.Address)
 	if !s.process.Announce(worker) {
 		p := hsproblem.New(http.StatusServiceUnavailable, hsproblem.NotRun, "the process has too many inputs waiting")
