hsdispatch: a test of reports with impossible values

Evidence: TestOddReport passes on the code as it is, in all rows: sizes that overflow or are negative, times, incarnations, ends, fences and progress out of range end neither this leader nor the next, and jobs on the other worker go on. So it doesn't happen at this door; the test keeps it so.

--- a/core/command/hsdispatch/loss_test.go
+++ b/core/command/hsdispatch/loss_test.go
@@ -1,6 +1,7 @@
 package hsdispatch_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -263,3 +264,60 @@
 		h.assertEqual(tt.name, h.assignments(job), []string{"a/1"})
 	}
 }
+
+// TestOddReport delivers reports of a worker whose endpoint or runs have impossible values, as an older agent may pass them on
+// from another writer. They must not end the leader, nor the one after it, and jobs go on on the other worker.
+func TestOddReport(t *testing.T) {
+	const most = 1<<63 - 1
+	tables := []struct {
+		name   string
+		change func(r *hsmessage.RunnerReport)
+	}{
+		{"nothing odd", func(*hsmessage.RunnerReport) {}},
+		{"sizes that overflow in sums", func(r *hsmessage.RunnerReport) {
+			r.Endpoint.Capacity = hswork.Resources{Cores: most, Memory: most, Accelerators: most}
+		}},
+		{"negative sizes", func(r *hsmessage.RunnerReport) {
+			r.Endpoint.Capacity = hswork.Resources{Cores: -most, Memory: -most, Accelerators: -most}
+		}},
+		{"no sizes", func(r *hsmessage.RunnerReport) { r.Endpoint.Capacity = hswork.Resources{} }},
+		{"the highest incarnation", func(r *hsmessage.RunnerReport) { r.Endpoint.Incarnation = 1<<64 - 1 }},
+		{"leaving after a time that overflows", func(r *hsmessage.RunnerReport) { r.Endpoint.Leaving, r.Endpoint.LeavesIn = true, most }},
+		{"leaving long ago", func(r *hsmessage.RunnerReport) { r.Endpoint.Leaving, r.Endpoint.LeavesIn = true, -most }},
+		{"no names", func(r *hsmessage.RunnerReport) { r.Endpoint.ID, r.Endpoint.Rack, r.Endpoint.Labels = "", "", nil }},
+		{"progress out of range", func(r *hsmessage.RunnerReport) {
+			for i := range r.Running {
+				r.Running[i].Percent, r.Running[i].Load = -most, -most
+			}
+		}},
+		{"the highest end", func(r *hsmessage.RunnerReport) {
+			r.Ended = []hsmessage.EndedTask{{Number: 1<<64 - 1, Run: hswork.RunID{Task: hswork.TaskID{Job: "x"}, Number: 1<<32 - 1}, Kind: "odd"}}
+		}},
+		{"the highest fence", func(r *hsmessage.RunnerReport) { r.MinFence = 1<<64 - 1 }},
+		{"a run twice", func(r *hsmessage.RunnerReport) { r.Running = append(r.Running, r.Running...) }},
+	}
+	for _, tt := range tables {
+		h := newHarness(t)
+		h.addWorker("a", "r1-1")
+		first := h.submit(1, 0, "w1", step(4, 1000, 1))
+		h.applyPlans()
+		odd := h.addWorker("b", "r1-2")
+		h.submit(2, 1, "w2", step(6, 1000, 1))
+		h.applyPlans()
+		tt.change(odd)
+		h.advanceWithProgress(3 * time.Second)
+		h.startLeadership(2)
+		h.advanceWithProgress(3 * time.Second)
+		for _, r := range slices.Clone(h.reports["a"].Running) {
+			h.listEnd("a", r.Run, hswork.EndDone, "")
+		}
+		h.advance(time.Second)
+		h.assertEqual(tt.name+": the first job", h.state.Jobs[first].Phase, hswork.Completed)
+		last := h.submit(3, 0, "w1", step(1, 1000, 1))
+		for range 5 {
+			h.applyPlan("a")
+			h.advance(200 * time.Millisecond)
+		}
+		h.assertEqual(tt.name+": runs of the last job", len(h.assignments(last)), 1)
+	}
+}
