hsdispatch, hsfleet: serials of plans and orders outlive the entry of a worker

Cause: a leader forgets a worker that was silent for a minute and holds no run, and numbered its plans from 1 when it reported again. The runner ignores plans whose serial isn't higher than the last one of the term. The product's own agents ignored orders for the same reason.

Why it works: the serial is kept apart from the entry, as the epoch of the fence is, and only rises within a term, also over a restart of the runner or agent, which starts from 0 and takes any.

--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -112,6 +112,9 @@
 	// epochs holds the part of the fence that rises when a run of a worker is given up. It outlives the worker's entry
 	// in workers, as its endpoint refuses calls with a lower fence.
 	epochs map[hsid.InstanceID]uint64
+	// serials holds the serial of the last plan for each runner. It outlives the worker's entry too, as the runner ignores
+	// plans with a lower serial for as long as the term lasts.
+	serials map[hsid.InstanceID]hsid.Sequence
 	// placed indexes the runs that aren't proved to have ended.
 	placed *placedIndex
 	// proposedEnds holds the runs whose end was proposed and isn't applied yet.
@@ -163,6 +166,7 @@
 		leadingSince:   p.Clock.Now(),
 		workers:        map[hsid.InstanceID]*worker{},
 		epochs:         map[hsid.InstanceID]uint64{},
+		serials:        map[hsid.InstanceID]hsid.Sequence{},
 		placed:         newPlacedIndex(s),
 		proposedEnds:   map[hswork.RunID]bool{},
 		proposedStarts: map[hswork.TaskID]*hswork.Start{},
--- a/core/command/hsdispatch/loss_test.go
+++ b/core/command/hsdispatch/loss_test.go
@@ -321,3 +321,20 @@
 		h.assertEqual(tt.name+": runs of the last job", len(h.assignments(last)), 1)
 	}
 }
+
+// TestPlansAfterForgetting cuts a worker off for longer than the leader remembers it. Its runner ignores every plan whose
+// serial isn't higher than the last one of the term, so it would start nothing for about as long as the leader has led.
+func TestPlansAfterForgetting(t *testing.T) {
+	h := newHarness(t)
+	report := h.addWorker("a", "r1-1")
+	h.addWorker("b", "r1-2")
+	h.advance(3 * time.Second)
+	before := h.plans["a"].Serial
+	delete(h.reports, "a")
+	h.advance(62 * time.Second)
+	h.reports["a"] = report
+	h.report("a")
+	if got := h.plans["a"].Serial; got <= before {
+		t.Errorf("got a plan with serial %d after the cut, want one above %d", got, before)
+	}
+}
--- a/core/command/hsdispatch/plan.go
+++ b/core/command/hsdispatch/plan.go
@@ -26,11 +26,11 @@
 
 // buildPlan returns the next plan for a runner: everything that its endpoint should run and stop.
 func (d *Dispatcher) buildPlan(w *worker) hsmessage.Plan {
-	w.planSerial++
+	d.serials[w.id]++
 	incarnation := w.report.Endpoint.Incarnation
 	p := hsmessage.Plan{
 		Term:                d.term,
-		Serial:              w.planSerial,
+		Serial:              d.serials[w.id],
 		Incarnation:         w.report.Incarnation,
 		Sequence:            w.report.Sequence,
 		RunLease:            d.config.Lease,
--- a/core/command/hsdispatch/worker.go
+++ b/core/command/hsdispatch/worker.go
@@ -18,7 +18,6 @@
 	lastHeard time.Time
 	// previousIncarnation is the incarnation of the runner before this one; its delayed messages are dropped.
 	previousIncarnation hsid.Incarnation
-	planSerial          hsid.Sequence
 	// acked is the newest end listed by this incarnation of the endpoint that is committed, as are all before it (a
 	// cumulative acknowledgement).
 	acked   hswork.EndNumber
--- a/core/hsfleet/fleet.go
+++ b/core/hsfleet/fleet.go
@@ -65,11 +65,14 @@
 type Fleet struct {
 	workers map[hsid.InstanceID]*Worker
 	order   []hsid.InstanceID
+	// serials holds Worker.Serial of each worker that was removed: its agent ignores orders with a lower serial for as long
+	// as the term lasts.
+	serials map[hsid.InstanceID]hsid.Sequence
 }
 
 // New returns a fleet without workers.
 func New() *Fleet {
-	return &Fleet{workers: map[hsid.InstanceID]*Worker{}}
+	return &Fleet{workers: map[hsid.InstanceID]*Worker{}, serials: map[hsid.InstanceID]hsid.Sequence{}}
 }
 
 // Get returns a worker, or nil when it hasn't reported yet.
@@ -93,7 +96,7 @@
 func (f *Fleet) Update(from hsstate.Peer, r hsmessage.AgentReport, now time.Time) (*Worker, bool) {
 	w := f.workers[r.Instance]
 	if w == nil {
-		w = &Worker{FirstSerials: map[hsid.Grant]hsid.Sequence{}}
+		w = &Worker{Serial: f.serials[r.Instance], FirstSerials: map[hsid.Grant]hsid.Sequence{}}
 		f.workers[r.Instance] = w
 		at, _ := slices.BinarySearch(f.order, r.Instance)
 		f.order = slices.Insert(f.order, at, r.Instance)
@@ -107,7 +110,6 @@
 	if w.Report.Incarnation != r.Incarnation {
 		w.previousIncarnations = append(w.previousIncarnations, w.Report.Incarnation)
 		w.previousIncarnations = w.previousIncarnations[max(0, len(w.previousIncarnations)-maxPreviousIncarnations):]
-		w.Serial = 0
 		clear(w.FirstSerials)
 	}
 	w.Peer = from
@@ -126,6 +128,9 @@
 
 // Remove removes a worker; it returns with its next report.
 func (f *Fleet) Remove(id hsid.InstanceID) {
+	if w := f.workers[id]; w != nil {
+		f.serials[id] = w.Serial
+	}
 	delete(f.workers, id)
 	if at, ok := slices.BinarySearch(f.order, id); ok {
 		f.order = slices.Delete(f.order, at, at+1)
