hsdispatch: a report extends only the lease of the incarnation that it names

Cause: the restarted runner reports without an endpoint. Each report moved the time from which the lease of all runs of that worker is counted, so they were never given up; plans left them out, as they belong to a later incarnation than the report.

Two of the five new rows of TestWorkerLoss fail without the change.

Why it works: the lease of an incarnation is extended only by plans that answer reports naming it. For the runs of a later incarnation than the newest report names, the lease is counted from the last report before that. This also ends the runs of a worker whose restart has an earlier start, as its clock was set back.

--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -291,27 +291,42 @@
 	}
 }
 
-// leaseExpiry returns when the last lease that a worker may hold expires if nothing more is heard from it. None of
-// its runs is running after that. Earlier leaders granted their leases before this leadership began, so the beginning
-// of this leadership counts as the time of their last grant.
-func (d *Dispatcher) leaseExpiry(id hsid.InstanceID) time.Time {
+// leaseExpiry returns when the last lease that an incarnation of a worker's endpoint may hold expires if nothing more is
+// heard from it. None of its runs is running after that. A report extends only the lease of the incarnation that it names: a
+// runner that was restarted and doesn't hear from its endpoint goes on to report without one. Earlier leaders granted
+// their leases before this leadership began, so the beginning of this leadership counts as the time of their last grant.
+func (d *Dispatcher) leaseExpiry(id hsid.InstanceID, incarnation hswork.EndpointIncarnation) time.Time {
 	granted := d.leadingSince
-	if w := d.workers[id]; w != nil && w.lastHeard.After(granted) {
-		granted = w.lastHeard
+	if w := d.workers[id]; w != nil {
+		heard := w.lastHeard
+		if w.report.Endpoint.Incarnation < incarnation {
+			heard = w.changedAt
+		}
+		if heard.After(granted) {
+			granted = heard
+		}
 	}
 	return granted.Add(hslease.WithDrift(d.config.Lease) + leaseMargin)
 }
 
+// namedIncarnation returns the incarnation of the endpoint in the newest report of a worker; zero without a report.
+func (d *Dispatcher) namedIncarnation(id hsid.InstanceID) hswork.EndpointIncarnation {
+	if w := d.workers[id]; w != nil {
+		return w.report.Endpoint.Incarnation
+	}
+	return 0
+}
+
 // endLostRuns proposes the ends of the runs on workers whose lease has expired, and drops workers that were silent
 // for forgetAfter and hold no placed run.
 func (d *Dispatcher) endLostRuns(now time.Time) {
 	for _, id := range d.workersWithRuns() {
-		if now.Before(d.leaseExpiry(id)) {
-			continue
-		}
+		expired := !now.Before(d.leaseExpiry(id, d.namedIncarnation(id)))
 		var ends []hswork.End
 		for _, p := range d.placedOn(id) {
-			if !d.proposedEnds[p.run] {
+			incarnation := p.assignment.EndpointIncarnation
+			over := expired || incarnation > d.namedIncarnation(id) && !now.Before(d.leaseExpiry(id, incarnation))
+			if over && !d.proposedEnds[p.run] {
 				ends = append(ends, d.lostEnd(p.run))
 			}
 		}
--- a/core/command/hsdispatch/loss_test.go
+++ b/core/command/hsdispatch/loss_test.go
@@ -67,6 +67,34 @@
 			h.listEnd("a", run, hswork.EndFailed, "")
 			h.advance(200 * time.Millisecond)
 		}, []string{"b/2"}},
+		{"a restarted runner without an endpoint keeps the run until the lease has expired", func(h *harness, a *hsmessage.RunnerReport) {
+			restartWithoutEndpoint(a)
+			h.advance(lease)
+		}, []string{"a/1"}},
+		{"and loses it after that, though it goes on to report", func(h *harness, a *hsmessage.RunnerReport) {
+			restartWithoutEndpoint(a)
+			h.advance(lease + lease/10)
+		}, []string{"b/2"}},
+		{"the same with a new leader", func(h *harness, a *hsmessage.RunnerReport) {
+			restartWithoutEndpoint(a)
+			h.advance(lease / 2)
+			h.startLeadership(2)
+			h.advance(lease)
+		}, []string{"a/1"}},
+		{"and after the leases of its predecessor have expired", func(h *harness, a *hsmessage.RunnerReport) {
+			restartWithoutEndpoint(a)
+			h.advance(lease / 2)
+			h.startLeadership(2)
+			h.advance(lease + lease/10)
+		}, []string{"b/2"}},
+		{"an endpoint that announces itself again to a restarted runner keeps the run", func(h *harness, a *hsmessage.RunnerReport) {
+			before := *a
+			restartWithoutEndpoint(a)
+			h.advance(lease / 2)
+			before.Incarnation, before.Sequence = a.Incarnation, a.Sequence
+			*a = before
+			h.advance(2 * lease)
+		}, []string{"a/1"}},
 		{"a delayed message of the previous runner is ignored", func(h *harness, a *hsmessage.RunnerReport) {
 			old := *a
 			a.Incarnation++
@@ -91,6 +119,11 @@
 	}
 }
 
+// restartWithoutEndpoint makes a report that of a restarted runner whose endpoint doesn't announce itself.
+func restartWithoutEndpoint(r *hsmessage.RunnerReport) {
+	*r = hsmessage.RunnerReport{Instance: r.Instance, Incarnation: r.Incarnation + 1}
+}
+
 // TestCompletionAfterLoss checks that a run that was given up as lost counts as done once its worker reports that it
 // completed, and that the run that replaced it is stopped. It happens when an agent is disconnected while its tasks
 // complete.
--- a/core/command/hsdispatch/worker.go
+++ b/core/command/hsdispatch/worker.go
@@ -16,6 +16,9 @@
 	peer      hsstate.Peer
 	report    hsmessage.RunnerReport
 	lastHeard time.Time
+	// changedAt is when the last report arrived that named another incarnation of the endpoint than the newest one does;
+	// zero when there was none.
+	changedAt time.Time
 	// previousIncarnation is the incarnation of the runner before this one; its delayed messages are dropped.
 	previousIncarnation hsid.Incarnation
 	// acked is the newest end listed by this incarnation of the endpoint that is committed, as are all before it (a
@@ -51,6 +54,9 @@
 		w.previousIncarnation = w.report.Incarnation
 	}
 	before := w.report
+	if before.Endpoint.Incarnation != report.Endpoint.Incarnation {
+		w.changedAt = w.lastHeard
+	}
 	w.report = report
 	w.peer = from
 	w.lastHeard = d.ports.Clock.Now()
