hsmaintenance: a list of machines is dated by its own request

Cause: a list is requested every second, and each answer was dated by the newest request. The answer to an older one shows a machine as up that was ordered down since, and it counted as back in use.

TestSlowLists fails without the change for lists that take 1.1 s and 2.7 s.

Why it works: a request carries its time, which comes back with the list. A list that was requested before the one in use, or before this leadership began, is ignored.

--- a/core/command/hscontrol/maintenance.go
+++ b/core/command/hscontrol/maintenance.go
@@ -13,9 +13,9 @@
 }
 
 // HandleMachineList delivers the platform's list of machines. It is ignored while this replica doesn't lead.
-func (c *Control) HandleMachineList(machines []hsmaintenance.Machine) {
+func (c *Control) HandleMachineList(l hsmaintenance.MachineList) {
 	if c.Leading() {
-		c.leader.maintenance.HandleMachineList(machines)
+		c.leader.maintenance.HandleMachineList(l)
 	}
 }
 
--- a/core/command/hsmaintenance/coordinator.go
+++ b/core/command/hsmaintenance/coordinator.go
@@ -12,7 +12,7 @@
 //
 //	c := hsmaintenance.New(config, ports, state, term)
 //	c.Wake()
-//	c.HandleMachineList(machines)
+//	c.HandleMachineList(list)
 //	c.HandleOrderResult(order, verdict)
 package hsmaintenance
 
@@ -63,8 +63,8 @@
 // Machines is the platform's interface to machines. Its methods don't block; results come back through
 // Coordinator.HandleMachineList and Coordinator.HandleOrderResult.
 type Machines interface {
-	// List requests the list of machines.
-	List()
+	// List requests the list of machines. The list comes back with the time that is given here.
+	List(requestedAt time.Time)
 	// Upkeep orders the upkeep of a machine.
 	Upkeep(o Order)
 }
@@ -98,6 +98,12 @@
 	Endpoint hswork.EndpointID
 }
 
+// MachineList is the platform's list of machines, read some time after it was requested.
+type MachineList struct {
+	RequestedAt time.Time
+	Machines    []Machine
+}
+
 // Verdict is the outcome of an order.
 type Verdict string
 
@@ -129,7 +135,8 @@
 	term      hsid.Term
 	startedAt time.Time
 
-	// listRequestedAt is when a list was last requested; listedAt is its value at the last answer, and zero before.
+	// listRequestedAt is when a list was last requested; listedAt is when the one in machines was, and zero before the
+	// first one.
 	listRequestedAt time.Time
 	listedAt        time.Time
 	machines        map[hswork.MachineID]Machine
@@ -172,7 +179,7 @@
 	}
 	if now.Sub(c.listRequestedAt) >= listInterval {
 		c.listRequestedAt = now
-		c.ports.Machines.List()
+		c.ports.Machines.List(now)
 	}
 	if c.listedAt.IsZero() {
 		return
@@ -291,11 +298,15 @@
 	c.ports.Machines.Upkeep(Order{Machine: m.ID, Wave: w.ID, Holder: c.config.Holder, FencingToken: c.term})
 }
 
-// HandleMachineList handles the platform's list of machines, which replaces the one before.
-func (c *Coordinator) HandleMachineList(machines []Machine) {
-	c.listedAt = c.listRequestedAt
+// HandleMachineList handles the platform's list of machines, which replaces the one before. A list that was requested
+// before that one, or before this leadership, arrived late and is ignored.
+func (c *Coordinator) HandleMachineList(l MachineList) {
+	if l.RequestedAt.Before(c.startedAt) || !l.RequestedAt.After(c.listedAt) {
+		return
+	}
+	c.listedAt = l.RequestedAt
 	clear(c.machines)
-	for _, m := range machines {
+	for _, m := range l.Machines {
 		c.machines[m.ID] = m
 	}
 }
--- a/core/command/hsmaintenance/coordinator_test.go
+++ b/core/command/hsmaintenance/coordinator_test.go
@@ -31,6 +31,15 @@
 	// delayCommits keeps proposals about machines in uncommitted until commit is called.
 	delayCommits bool
 	uncommitted  []*hswork.Command
+	// listDelay is how long a list takes to arrive. It shows the machines as they were when it was requested.
+	listDelay time.Duration
+	late      []lateList
+}
+
+// lateList is a list that arrives at a later time.
+type lateList struct {
+	at   time.Time
+	list hsmaintenance.MachineList
 }
 
 const upkeepDuration = 2 * time.Second
@@ -83,7 +92,7 @@
 	return !p.undrainable[id]
 }
 
-func (p *fakePlatform) List() {
+func (p *fakePlatform) List(requestedAt time.Time) {
 	var all []hsmaintenance.Machine
 	for i := range 4 {
 		id := hswork.MachineID(fmt.Sprintf("m%d", i))
@@ -95,7 +104,17 @@
 			all = append(all, m)
 		}
 	}
-	p.coordinator.HandleMachineList(all)
+	p.late = append(p.late, lateList{p.now.Add(p.listDelay), hsmaintenance.MachineList{RequestedAt: requestedAt, Machines: all}})
+	p.deliverLists()
+}
+
+// deliverLists delivers the lists that have arrived by now.
+func (p *fakePlatform) deliverLists() {
+	for len(p.late) > 0 && !p.now.Before(p.late[0].at) {
+		l := p.late[0].list
+		p.late = p.late[1:]
+		p.coordinator.HandleMachineList(l)
+	}
 }
 
 func (p *fakePlatform) Upkeep(o hsmaintenance.Order) {
@@ -123,6 +142,7 @@
 				delete(p.down, id)
 			}
 		}
+		p.deliverLists()
 		p.coordinator.Wake()
 	}
 }
@@ -174,6 +194,20 @@
 	}
 }
 
+// TestSlowLists checks that the cap of a wave holds while lists of machines take longer than the time between two requests:
+// a list doesn't show what happened after it was requested.
+func TestSlowLists(t *testing.T) {
+	for _, delay := range []time.Duration{900 * time.Millisecond, 1100 * time.Millisecond, 1900 * time.Millisecond, 2700 * time.Millisecond} {
+		p := newFakePlatform(t)
+		p.listDelay = delay
+		p.startWave(1, 2*time.Minute, "m0", "m1", "m2", "m3")
+		p.advance(90 * time.Second)
+		if p.maxDown != 1 || len(p.upkeepCount) != 4 || !p.state.Wave(1).Done {
+			t.Errorf("lists that take %s: got at most %d machines down at once, %d with upkeep and done %v, want 1, 4 and true", delay, p.maxDown, len(p.upkeepCount), p.state.Wave(1).Done)
+		}
+	}
+}
+
 // TestForceNearDeadline checks that endpoints are drained by force, which loses progress, only when the wave's time
 // runs out.
 func TestForceNearDeadline(t *testing.T) {
--- a/io/hsprocess/input.go
+++ b/io/hsprocess/input.go
@@ -108,17 +108,17 @@
 }
 
 // HandleMachineList queues the platform's list of machines. It blocks while the inbox is full.
-func (p *Process) HandleMachineList(machines []hsmaintenance.Machine) {
-	p.enqueue(machinesListed{machines: machines})
+func (p *Process) HandleMachineList(l hsmaintenance.MachineList) {
+	p.enqueue(machinesListed{list: l})
 }
 
 type machinesListed struct {
-	machines []hsmaintenance.Machine
+	list hsmaintenance.MachineList
 }
 
 func (in machinesListed) apply(p *Process) {
 	if p.control != nil {
-		p.control.HandleMachineList(in.machines)
+		p.control.HandleMachineList(in.list)
 	}
 }
 
