hsmaintenance: a wave goes by a list that is newer than the wave

Cause: between waves no list is read. A machine that isn't in the last list counts as one that no longer exists, also when the list is older than the wave and the machine joined in between.

TestAddedMachine fails without the change.

Why it works: no step is taken for a wave before a list arrives that was requested at or after the moment the coordinator first saw it.

--- a/core/command/hsmaintenance/coordinator.go
+++ b/core/command/hsmaintenance/coordinator.go
@@ -140,6 +140,8 @@
 	listRequestedAt time.Time
 	listedAt        time.Time
 	machines        map[hswork.MachineID]Machine
+	// openedAt is when each wave that isn't done was first seen. An older list doesn't tell which of its machines exist.
+	openedAt map[hswork.WaveID]time.Time
 	// orderedAt and acknowledgedAt are when an order for a machine was last sent and acknowledged.
 	orderedAt      map[hswork.MachineID]time.Time
 	acknowledgedAt map[hswork.MachineID]time.Time
@@ -164,6 +166,7 @@
 		term:           term,
 		startedAt:      p.Clock.Now(),
 		machines:       map[hswork.MachineID]Machine{},
+		openedAt:       map[hswork.WaveID]time.Time{},
 		orderedAt:      map[hswork.MachineID]time.Time{},
 		acknowledgedAt: map[hswork.MachineID]time.Time{},
 		proposed:       map[hswork.MachineID]bool{},
@@ -177,15 +180,21 @@
 	if !c.hasOpenWave() || c.fenced || c.ports.Machines == nil || now.Sub(c.startedAt) < c.config.Lease {
 		return
 	}
+	for i := range c.state.Waves {
+		if w := &c.state.Waves[i]; !w.Done && c.openedAt[w.ID].IsZero() {
+			c.openedAt[w.ID] = now
+		}
+	}
 	if now.Sub(c.listRequestedAt) >= listInterval {
 		c.listRequestedAt = now
 		c.ports.Machines.List(now)
 	}
-	if c.listedAt.IsZero() {
-		return
-	}
 	for i := range c.state.Waves {
-		if w := &c.state.Waves[i]; !w.Done {
+		w := &c.state.Waves[i]
+		switch {
+		case w.Done:
+			delete(c.openedAt, w.ID)
+		case !c.listedAt.Before(c.openedAt[w.ID]):
 			c.advance(w, now)
 		}
 	}
--- a/core/command/hsmaintenance/coordinator_test.go
+++ b/core/command/hsmaintenance/coordinator_test.go
@@ -148,7 +148,11 @@
 }
 
 func (p *fakePlatform) startWave(maxDown int, duration time.Duration, machines ...hswork.MachineID) {
-	w := hswork.Wave{ID: 1, Cap: maxDown, Duration: duration}
+	p.startNextWave(1, maxDown, duration, machines...)
+}
+
+func (p *fakePlatform) startNextWave(id hswork.WaveID, maxDown int, duration time.Duration, machines ...hswork.MachineID) {
+	w := hswork.Wave{ID: id, Cap: maxDown, Duration: duration}
 	for _, m := range machines {
 		w.Machines = append(w.Machines, hswork.WaveMachine{ID: m})
 	}
@@ -208,6 +212,24 @@
 	}
 }
 
+// TestAddedMachine checks that a wave has the upkeep of a machine that joined after the last list of an earlier wave, which
+// would otherwise be taken for one that no longer exists.
+func TestAddedMachine(t *testing.T) {
+	for _, delay := range []time.Duration{0, 1500 * time.Millisecond} {
+		p := newFakePlatform(t)
+		p.listDelay = delay
+		p.removed["m3"] = true
+		p.startWave(1, time.Minute, "m0")
+		p.advance(30 * time.Second)
+		p.removed["m3"] = false
+		p.startNextWave(2, 1, time.Minute, "m3")
+		p.advance(30 * time.Second)
+		if got := p.upkeepCount["m3"]; got != 1 || !p.state.Wave(2).Done {
+			t.Errorf("lists that take %s: got %d upkeeps of the machine and done %v, want 1 and true", delay, got, p.state.Wave(2).Done)
+		}
+	}
+}
+
 // TestForceNearDeadline checks that endpoints are drained by force, which loses progress, only when the wave's time
 // runs out.
 func TestForceNearDeadline(t *testing.T) {
