hsmaintenance: results count only for the term of their order

What callers could see: waves that never go on, when a process leads again after another one did.

Cause: the refusal of an order from its earlier leadership, whose fence was too low by then, made the coordinator of the new one stop for good, as if a later leader had sent orders.

Evidence: TestResultsOfEarlierLeadership fails without the check (no upkeep, neither wave done).

Why it works: an order carries the term as its fence, so a result tells which leadership it belongs to.

--- a/core/command/hsmaintenance/coordinator.go
+++ b/core/command/hsmaintenance/coordinator.go
@@ -321,8 +321,11 @@
 }
 
 // HandleOrderResult handles the result of an order. Orders without an answer, or while the platform is busy, are sent
-// again.
+// again. A result of an order from an earlier leadership of this process is ignored.
 func (c *Coordinator) HandleOrderResult(o Order, v Verdict) {
+	if o.FencingToken != c.term {
+		return
+	}
 	switch v {
 	case OrderFenced:
 		c.fenced = true
--- a/core/command/hsmaintenance/coordinator_test.go
+++ b/core/command/hsmaintenance/coordinator_test.go
@@ -230,6 +230,25 @@
 	}
 }
 
+// TestResultsOfEarlierLeadership checks that a coordinator ignores what an earlier one of the same process asked for: a list
+// without a machine that has joined since, and the refusal of an order whose fence is lower than that of another leader.
+func TestResultsOfEarlierLeadership(t *testing.T) {
+	p := newFakePlatform(t)
+	p.removed["m3"] = true
+	p.listDelay = 3500 * time.Millisecond
+	p.startWave(1, time.Minute, "m0")
+	p.advance(4 * time.Second)
+	p.listDelay = 0
+	p.removed["m3"] = false
+	p.lead(3)
+	p.startNextWave(2, 1, time.Minute, "m3")
+	p.coordinator.HandleOrderResult(hsmaintenance.Order{Machine: "m0", Wave: 1, FencingToken: 1}, hsmaintenance.OrderFenced)
+	p.advance(40 * time.Second)
+	if got := p.upkeepCount["m3"]; got != 1 || !p.state.Wave(1).Done || !p.state.Wave(2).Done {
+		t.Errorf("got %d upkeeps of the added machine, waves done %v and %v, want 1, true and true", got, p.state.Wave(1).Done, p.state.Wave(2).Done)
+	}
+}
+
 // TestForceNearDeadline checks that endpoints are drained by force, which loses progress, only when the wave's time
 // runs out.
 func TestForceNearDeadline(t *testing.T) {
