hsdispatch: nothing is reserved behind a run that never ends

Cause: a large job that doesn't fit reserves the worker where it is expected to fit first. The remaining time of a long-running task came from its estimate, so the large job was expected to fit soon, and kept the room from the small one for good.

TestReservationOnIdleFleet fails without the change.

Why it works: a long-running run isn't among the runs whose end a reservation counts on, unless it is being stopped. The large job may still preempt, or run elsewhere.

--- a/core/command/hsdispatch/reserve.go
+++ b/core/command/hsdispatch/reserve.go
@@ -95,7 +95,8 @@
 }
 
 // earliestFitOn returns the workers on one rack, or on any for an empty rack, where all tasks of a unit are expected
-// to fit first, and the time until then. Suspect workers and reserved ones are left out.
+// to fit first, and the time until then. Suspect workers and reserved ones are left out. Long-running runs aren't expected to
+// end.
 func (d *Dispatcher) earliestFitOn(u *unit, offers []*offer, rack hswork.Label, now time.Time) ([]*candidate, time.Duration) {
 	var candidates []*candidate
 	waits := []time.Duration{0}
@@ -105,6 +106,9 @@
 		}
 		c := &candidate{offer: o}
 		for _, p := range d.placedOn(o.worker.id) {
+			if p.step.LongRunning && !d.stopping[p.run] {
+				continue
+			}
 			r := release{endsIn: d.remainingTime(p, now), resources: need(p.step)}
 			c.releases = append(c.releases, r)
 			waits = append(waits, r.endsIn)
--- a/core/command/hsdispatch/schedule_test.go
+++ b/core/command/hsdispatch/schedule_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"hyssopseam/core/hsid"
 	"hyssopseam/core/hswork"
 )
 
@@ -38,3 +39,37 @@
 	h.commit()
 	h.assertEqual("job once the next pass is due", h.assignments(second), []string{"a/1"})
 }
+
+// TestReservationOnIdleFleet checks that a reservation doesn't keep a job off room that is idle. Pattern: the only worker with a
+// label has a small run, a large job that needs the whole worker waits for it, and a small job comes.
+func TestReservationOnIdleFleet(t *testing.T) {
+	tables := []struct {
+		name  string
+		first hswork.Step
+		after time.Duration
+	}{
+		{"beside a run that never ends", hswork.Step{LongRunning: true}, 500 * time.Millisecond},
+	}
+	for _, tt := range tables {
+		h := newHarness(t)
+		for _, id := range []string{"a", "b", "c"} {
+			h.addWorker(id, "r1-1")
+		}
+		h.reports["b"].Endpoint.Labels[0] = "b"
+		onB := func(accelerators hsid.Accelerators, estimate time.Duration) hswork.Step {
+			s := step(1, 1000, accelerators)
+			s.Label, s.Estimate = "b", estimate
+			return s
+		}
+		first := onB(1, tt.first.Estimate)
+		first.LongRunning = tt.first.LongRunning
+		h.submit(1, 0, "w2", first)
+		h.applyPlans()
+		h.advanceWithProgress(3 * time.Second)
+		h.submit(2, 1, "w2", onB(8, time.Minute))
+		h.advanceWithProgress(time.Second)
+		small := h.submit(3, 2, "w2", onB(3, 20*time.Minute))
+		h.advance(tt.after)
+		h.assertEqual(tt.name, h.assignments(small), []string{"b/1"})
+	}
+}
