hsid, hsdispatch, hsfleet: a late report doesn't displace a process for good

What callers could see: a worker that gets no runs until its agent is restarted.

Cause: incarnations of processes are random. A report of an unknown one counted as a restart, and all reports of the one before as late from then on. If the unknown one had ended already and its first report was held up by a cut, the process that goes on was ignored.

Why it works: an earlier life counts as the present one again when that has been silent for 1.5 s and two messages of the earlier one arrive at least a second apart; messages of a life that has ended arrive late, but together. The leader's views of runners and of the product's agents use the same type, hsid.Lives.

--- a/core/command/hsdispatch/loss_test.go
+++ b/core/command/hsdispatch/loss_test.go
@@ -371,3 +371,19 @@
 		t.Errorf("got a plan with serial %d after the cut, want one above %d", got, before)
 	}
 }
+
+// TestLateFirstReport delivers the first report of a runner process late, after the next process has reported. The reports of the
+// process that goes on must count again: its worker would get no runs for as long as it lives.
+func TestLateFirstReport(t *testing.T) {
+	h := newHarness(t)
+	a := h.addWorker("a", "r1-1")
+	late := *a
+	late.Incarnation, late.Sequence = 8, 1
+	a.Incarnation, a.Sequence = 9, 0
+	h.advance(time.Second)
+	h.dispatcher.Receive("a", late)
+	h.advance(4 * time.Second)
+	h.assertEqual("process that the plans are for", h.plans["a"].Incarnation, hsid.Incarnation(9))
+	job := h.submit(1, 1, "w2", step(1, 1000, 8))
+	h.assertEqual("assignments", h.assignments(job), []string{"a/1"})
+}
--- a/core/command/hsdispatch/worker.go
+++ b/core/command/hsdispatch/worker.go
@@ -19,8 +19,8 @@
 	// changedAt is when the last report arrived that named another incarnation of the endpoint than the newest one does;
 	// zero when there was none.
 	changedAt time.Time
-	// previousIncarnation is the incarnation of the runner before this one; its delayed messages are dropped.
-	previousIncarnation hsid.Incarnation
+	// lives tells the reports of the present runner process from delayed ones of those before it.
+	lives hsid.Lives
 	// acked is the newest end listed by this incarnation of the endpoint that is committed, as are all before it (a
 	// cumulative acknowledgement).
 	acked   hswork.EndNumber
@@ -40,26 +40,24 @@
 }
 
 // Receive updates the view of a worker from a report of its runner, proposes the ends that the report proves, and
-// makes a plan due in reply. Outdated reports, and those of the runner's previous incarnation, are ignored.
+// makes a plan due in reply. Outdated reports, and delayed ones of earlier processes of the runner, are ignored.
 func (d *Dispatcher) Receive(from hsstate.Peer, report hsmessage.RunnerReport) {
 	w := d.workers[report.Instance]
 	if w == nil {
 		w = &worker{id: report.Instance}
 		d.workers[report.Instance] = w
 	}
-	if report.Incarnation == w.previousIncarnation || (report.Incarnation == w.report.Incarnation && report.Sequence <= w.report.Sequence) {
+	now := d.ports.Clock.Now()
+	if !w.lives.Accept(report.Incarnation, report.Sequence, now) {
 		return
 	}
-	if report.Incarnation != w.report.Incarnation {
-		w.previousIncarnation = w.report.Incarnation
-	}
 	before := w.report
 	if before.Endpoint.Incarnation != report.Endpoint.Incarnation {
 		w.changedAt = w.lastHeard
 	}
 	w.report = report
 	w.peer = from
-	w.lastHeard = d.ports.Clock.Now()
+	w.lastHeard = now
 	w.planDue = true
 	if before.Endpoint.Incarnation != report.Endpoint.Incarnation {
 		w.acked = 0
--- a/core/hsfleet/fleet.go
+++ b/core/hsfleet/fleet.go
@@ -26,9 +26,8 @@
 	Quarantined bool
 	// Gone is set when the agent hasn't reported for longer than its run lease.
 	Gone bool
-	// previousIncarnations lists earlier incarnations of the agent, the latest last. Late reports of them are
-	// ignored.
-	previousIncarnations []hsid.Incarnation
+	// lives tells the reports of the present agent process from delayed ones of those before it.
+	lives hsid.Lives
 
 	groups []Mask
 	all    Mask
@@ -88,9 +87,6 @@
 	}
 }
 
-// maxPreviousIncarnations is the number of earlier incarnations of an agent that are remembered.
-const maxPreviousIncarnations = 16
-
 // Update records a report, and adds its worker if it is new. It returns the worker, and false when the report was
 // ignored because it isn't newer than the last one, or comes from an earlier incarnation of the agent.
 func (f *Fleet) Update(from hsstate.Peer, r hsmessage.AgentReport, now time.Time) (*Worker, bool) {
@@ -101,15 +97,10 @@
 		at, _ := slices.BinarySearch(f.order, r.Instance)
 		f.order = slices.Insert(f.order, at, r.Instance)
 	}
-	if w.Report.Incarnation == r.Incarnation && r.Sequence <= w.Report.Sequence {
-		return w, false
-	}
-	if slices.Contains(w.previousIncarnations, r.Incarnation) {
+	if !w.lives.Accept(r.Incarnation, r.Sequence, now) {
 		return w, false
 	}
 	if w.Report.Incarnation != r.Incarnation {
-		w.previousIncarnations = append(w.previousIncarnations, w.Report.Incarnation)
-		w.previousIncarnations = w.previousIncarnations[max(0, len(w.previousIncarnations)-maxPreviousIncarnations):]
 		clear(w.FirstSerials)
 	}
 	w.Peer = from
