hscontrol, hsentry: copies of a request are known by their age, not by a field in the log

How it works: an entry that sends a submission again puts the time since the first copy into the identifier of the request, which an older leader takes for one of its own and returns as it is. If the job was accepted within that time, and a second for the way, by the cluster time, it was accepted by a copy of this request or of another that was sent meanwhile, before the key was withdrawn. The cluster time stands still between leaders and so never makes it too long.

TestWithdrawnKeyOfResentRequest fails if every copy is acknowledged.

--- a/core/command/hscontrol/applied.go
+++ b/core/command/hscontrol/applied.go
@@ -1,8 +1,6 @@
 package hscontrol
 
 import (
-	"slices"
-
 	"hyssopseam/core/command/hslease"
 	"hyssopseam/core/hsfleet"
 	"hyssopseam/core/hsid"
@@ -35,7 +33,7 @@
 	case command.Work != nil:
 		c.leader.dispatcher.Applied(command.Work)
 		if command.Work.Submit != nil {
-			c.stepJobApplied(command.Work.Submit)
+			c.stepJobApplied(command.Work.Submit.Submission.ID)
 		}
 		if command.Work.Upkeep != nil {
 			c.leader.maintenance.Applied(command.Work.Upkeep)
@@ -89,16 +87,14 @@
 	}
 }
 
-// stepJobApplied removes a submission from those in the log.
-func (c *Control) stepJobApplied(s *hswork.Submit) {
-	requests := c.leader.stepJobsInLog[s.Submission.ID]
-	if i := slices.Index(requests, s.Request); i >= 0 {
-		requests = slices.Delete(requests, i, i+1)
-	}
-	c.leader.stepJobsInLog[s.Submission.ID] = requests
-	if len(requests) == 0 {
-		delete(c.leader.stepJobsInLog, s.Submission.ID)
+// stepJobApplied removes the oldest submission of a step job from those in the log.
+func (c *Control) stepJobApplied(id hswork.ID) {
+	requests := c.leader.stepJobsInLog[id]
+	if len(requests) <= 1 {
+		delete(c.leader.stepJobsInLog, id)
+		return
 	}
+	c.leader.stepJobsInLog[id] = requests[1:]
 }
 
 // onSubmitApplied queues a job that was accepted.
--- a/core/command/hscontrol/leader.go
+++ b/core/command/hscontrol/leader.go
@@ -55,7 +55,8 @@
 	pendingReplies map[hsid.LogIndex]pendingReply
 	// submissionsInLog counts, for each job, the submissions that are appended to the log and not applied yet.
 	submissionsInLog map[hsid.JobID]int
-	// stepJobsInLog holds, for each step job, the requests whose submissions are appended to the log and not applied yet.
+	// stepJobsInLog holds, for each step job, the requests whose submissions are appended to the log and not applied yet,
+	// in their order.
 	stepJobsInLog map[hswork.ID][]hsid.RequestID
 	jobWaiters    map[hsid.JobID][]waiter
 	ruleWaiters   []waiter
@@ -81,6 +82,8 @@
 type pendingReply struct {
 	requester hsstate.Peer
 	id        hsid.RequestID
+	// age is how long before this copy the request was first sent; zero for the first one.
+	age time.Duration
 	// cancelled lists the jobs of a cancellation.
 	cancelled []hsid.JobID
 	// workReply is the answer to a request about step jobs; nil for other requests.
--- a/core/command/hscontrol/request.go
+++ b/core/command/hscontrol/request.go
@@ -25,7 +25,8 @@
 		})
 		return
 	}
-	p := pendingReply{requester: from, id: m.ID}
+	p := pendingReply{requester: from}
+	p.id, p.age = m.ID.Split()
 	switch {
 	case m.Push != nil:
 		c.proposeAndReply(p, hsstate.Command{Rules: m.Push})
@@ -36,7 +37,7 @@
 	case m.Members != nil:
 		c.changeMembers(p, m.Members)
 	case m.Query != nil:
-		c.handleQuery(waiter{requester: from, id: m.ID, query: *m.Query})
+		c.handleQuery(waiter{requester: from, id: p.id, query: *m.Query})
 	case m.Work != nil:
 		c.handleWork(p, m.Work)
 	default:
--- a/core/command/hscontrol/work.go
+++ b/core/command/hscontrol/work.go
@@ -6,7 +6,6 @@
 
 	"hyssopseam/core/command/hscatalog"
 	"hyssopseam/core/command/hsdispatch"
-	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
 	"hyssopseam/core/hswork"
@@ -19,6 +18,8 @@
 	// workRetryAfter is the retry delay that a caller is told while there is no catalog, the cluster forms, or too many
 	// step jobs are open.
 	workRetryAfter = time.Second
+	// requestDelay is the longest time that a copy of a request may have been under way and still be known as one.
+	requestDelay = time.Second
 )
 
 // workLog is the replicated log as the dispatcher and the maintenance coordinator use it.
@@ -63,15 +64,17 @@
 	if q.Action == hsmessage.WorkSubmit && slices.Contains(c.leader.stepJobsInLog[hscatalog.JobID(q.Path)], p.id) {
 		return // The earlier copy is answered once it is applied.
 	}
-	reply, command := c.decideWork(p.id, q)
+	reply, command := c.decideWork(p.age, q)
 	if command == nil {
 		c.replyToWork(p, q, reply)
 		return
 	}
 	p.workReply = &reply
 	c.ports.Work.WorkAnswered(p.id, q, reply, c.state.Work.Catalog.Version)
-	if s := command.Submit; c.proposeAndReply(p, hsstate.Command{Work: command}) && s != nil {
-		c.leader.stepJobsInLog[s.Submission.ID] = append(c.leader.stepJobsInLog[s.Submission.ID], s.Request)
+	appended := c.proposeAndReply(p, hsstate.Command{Work: command})
+	if appended && command.Submit != nil {
+		id := command.Submit.Submission.ID
+		c.leader.stepJobsInLog[id] = append(c.leader.stepJobsInLog[id], p.id)
 	}
 }
 
@@ -85,9 +88,9 @@
 	c.reply(p, r)
 }
 
-// decideWork returns the answer to a request with the given identifier, and the command that must be committed before
-// the answer is sent; nil for none.
-func (c *Control) decideWork(request hsid.RequestID, q *hsmessage.WorkRequest) (hsmessage.WorkReply, *hswork.Command) {
+// decideWork returns the answer to a request that was first sent the given time ago, and the command that must be
+// committed before the answer is sent; nil for none.
+func (c *Control) decideWork(age time.Duration, q *hsmessage.WorkRequest) (hsmessage.WorkReply, *hswork.Command) {
 	switch q.Action {
 	case hsmessage.WorkPutCatalog:
 		return c.putCatalog(q.Catalog)
@@ -104,7 +107,7 @@
 	if s.Catalog.Version == 0 {
 		return workReply(hsmessage.WorkNotReady), nil
 	}
-	if q.Action == hsmessage.WorkSubmit && c.accepted(request, hscatalog.JobID(q.Path)) {
+	if q.Action == hsmessage.WorkSubmit && c.acceptedWithin(age, hscatalog.JobID(q.Path)) {
 		return workReply(hsmessage.WorkDone), nil
 	}
 	queue, rest, ok := s.Catalog.Match(q.Host, q.Path)
@@ -120,7 +123,7 @@
 		waiting := hsprogress.CountWaiting(s, queue.Name, c.leader.dispatcher.HasStarted)
 		return hsmessage.WorkReply{Verdict: hsmessage.WorkDone, Waiting: waiting}, nil
 	case hsmessage.WorkSubmit:
-		return c.submitWork(request, queue, owner, id, q.Submission)
+		return c.submitWork(queue, owner, id, q.Submission)
 	case hsmessage.WorkState:
 		j := s.Jobs[id]
 		if j == nil {
@@ -159,15 +162,17 @@
 	return hsmessage.WorkReply{Verdict: hsmessage.WorkDone, Content: catalog.Content, Version: catalog.Version}
 }
 
-// accepted reports whether a step job was accepted by an earlier copy of the same request.
-func (c *Control) accepted(request hsid.RequestID, id hswork.ID) bool {
+// acceptedWithin reports whether a step job was accepted since a request for it was first sent, that is by an earlier copy of
+// that request, or by another of the same caller meanwhile. The cluster time doesn't run faster than the entry's clock, but
+// for their drift and for the time that the request was under way.
+func (c *Control) acceptedWithin(age time.Duration, id hswork.ID) bool {
 	j := c.state.Work.Jobs[id]
-	return j != nil && j.Request == request && request != ""
+	return j != nil && age > 0 && c.replica.Clock()-j.Accepted <= age+requestDelay
 }
 
 // submitWork accepts a step job. A job that exists already, in whatever state, is acknowledged again, and one whose
 // submission is in the log isn't refused.
-func (c *Control) submitWork(request hsid.RequestID, q *hswork.Queue, owner *hswork.Workspace, id hswork.ID, s *hswork.Submission) (hsmessage.WorkReply, *hswork.Command) {
+func (c *Control) submitWork(q *hswork.Queue, owner *hswork.Workspace, id hswork.ID, s *hswork.Submission) (hsmessage.WorkReply, *hswork.Command) {
 	work := c.state.Work
 	switch {
 	case s == nil || !hscatalog.ValidSubmission(id, s):
@@ -191,7 +196,6 @@
 		Stretch:     q.Stretch,
 		Target:      q.Target,
 		NeedsPermit: q.NeedsPermit,
-		Request:     request,
 	}
 	if owner != nil {
 		command.Workspace = owner.Name
--- a/core/command/hsentry/entry.go
+++ b/core/command/hsentry/entry.go
@@ -3,9 +3,10 @@
 //
 // A request is resent with the same identifier until it is answered or its timeout expires; requests are idempotent,
 // so a resend has no further effect. After a timeout the answer is that the outcome is unknown, never that nothing
-// was done, and a refusal is passed on only if no other copy of the request may have been accepted. Submissions need a valid rules lease: an entry that can't renew its lease refuses them as not run. A request
-// about step jobs that arrives while the leader's answer to a renewal is late waits briefly, unsent, and is then refused
-// too: had it been sent, its caller couldn't be told that it had no effect.
+// was done, and a refusal is passed on only if no other copy of the request may have been accepted. Submissions need a
+// valid rules lease: an entry that can't renew its lease refuses them as not run. A request about step jobs that arrives
+// while the leader's answer to a renewal is late waits briefly, unsent, and is then refused too: had it been sent, its
+// caller couldn't be told that it had no effect.
 //
 // An Entry persists nothing. It isn't safe for concurrent use; the control goroutine owns it.
 //
@@ -98,7 +99,8 @@
 	backoff  time.Duration
 	// timeout is that of the caller, counted from when the request arrived.
 	timeout time.Duration
-	// copies counts, for each control replica, the copies of the request that it hasn't answered.
+	// sentAt is when the first copy was sent, and copies counts, for each control replica, those that it hasn't answered.
+	sentAt time.Time
 	copies map[hsstate.Peer]int
 }
 
@@ -260,6 +262,7 @@
 
 // receiveReply passes a reply on to the caller, or has the request resent when the sender isn't the leader.
 func (e *Entry) receiveReply(from hsstate.Peer, m hsmessage.Reply) {
+	m.ID, _ = m.ID.Split()
 	p := e.pending[m.ID]
 	if p == nil {
 		e.strayAnswers++
@@ -402,9 +405,15 @@
 	jitter := time.Duration(e.ports.Random.Int64N(int64(p.backoff) / 2))
 	p.resendAt = now.Add(p.backoff + jitter)
 	p.backoff = min(2*p.backoff, maxBackoff)
+	request := p.request
+	if p.sentAt.IsZero() {
+		p.sentAt = now
+	} else if w := request.Work; w != nil && w.Action == hsmessage.WorkSubmit {
+		request.ID = request.ID.Resent(now.Sub(p.sentAt))
+	}
 	for _, peer := range e.leaseClient.Targets() {
 		p.copies[peer]++
-		e.ports.Sender.Send(peer, p.request)
+		e.ports.Sender.Send(peer, request)
 	}
 }
 
--- a/core/command/hsentry/entry_test.go
+++ b/core/command/hsentry/entry_test.go
@@ -1,6 +1,7 @@
 package hsentry_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -119,6 +120,31 @@
 	}
 }
 
+// TestResentIdentifier checks that a copy of a submission says how long ago the first one was sent, and that its reply is
+// that of the request.
+func TestResentIdentifier(t *testing.T) {
+	p := &fakePorts{now: time.Unix(10, 0)}
+	e := hsentry.New(hsentry.Config{Instance: "e", Controls: []hsstate.Peer{"c"}}, hsentry.Ports{Clock: p, Random: p, Sender: p, Answerer: p})
+	e.Wake()
+	e.Receive("c", hsmessage.Lease{Term: 1, Sequence: 1, Duration: 10 * time.Second, Number: 1, Rules: &hsstate.RuleSet{Number: 1}})
+	id := e.Do(hsmessage.Request{Work: &hsmessage.WorkRequest{Action: hsmessage.WorkSubmit}}, 30*time.Second)
+	p.now = p.now.Add(210 * time.Millisecond)
+	e.Wake()
+	var sent []hsid.RequestID
+	for _, m := range p.sent {
+		if r, ok := m.(hsmessage.Request); ok {
+			sent = append(sent, r.ID)
+		}
+	}
+	if want := []hsid.RequestID{id, id.Resent(210 * time.Millisecond)}; !slices.Equal(sent, want) {
+		t.Fatalf("got identifiers %v, want %v", sent, want)
+	}
+	e.Receive("c", hsmessage.Reply{ID: sent[1], Status: hsmessage.StatusDone})
+	if len(p.answers) != 1 || p.answers[0].ID != id {
+		t.Errorf("got answers %+v, want one to %s", p.answers, id)
+	}
+}
+
 // TestUnsentRequest checks what happens to a request about step jobs by when it arrives around the loss of the leader.
 // Pattern: all control processes lose power while callers go on; a request that was sent into the void can't be tried
 // again safely, and one that was held until its deadline left its caller without an answer.
--- a/core/command/hslifecycle/apply.go
+++ b/core/command/hslifecycle/apply.go
@@ -81,7 +81,6 @@
 		Accepted:    clock,
 		Index:       index,
 		Phase:       hswork.Open,
-		Request:     c.Request,
 	}
 }
 
--- a/core/hswork/job.go
+++ b/core/hswork/job.go
@@ -195,8 +195,6 @@
 	// Occurrences holds the occurrences in order, up to the newest one of which a task was started; EnsureOccurrence
 	// adds the next one.
 	Occurrences []Occurrence
-	// Request is the request by which the job was accepted; empty for a job from before requests were recorded.
-	Request hsid.RequestID
 }
 
 // EnsureOccurrence returns an occurrence, and first adds the missing ones up to it to Occurrences. It returns nil for
--- a/core/hswork/state.go
+++ b/core/hswork/state.go
@@ -78,8 +78,6 @@
 	Stretch     float64
 	Target      time.Duration
 	NeedsPermit bool
-	// Request is the request that submits the job. It stays the same when an entry sends the request again.
-	Request hsid.RequestID
 }
 
 // Member is one task of a Start and the endpoint that it is assigned to.
--- a/io/hscodec/codec.go
+++ b/io/hscodec/codec.go
@@ -1,7 +1,8 @@
 // Package hscodec encodes and decodes messages, states and records as MessagePack.
 //
-// Structs are encoded as arrays in the order of their fields, so a field may be added at the end without breaking older
-// readers, and no field may be moved. Every message starts with a byte that identifies its type.
+// Structs are encoded as arrays in the order of their fields. A reader refuses an array of another length, so no field may be
+// added, removed or moved in what is stored or sent between processes of different builds. Every message starts with a byte
+// that identifies its type.
 //
 // All functions are safe for concurrent use.
 //
--- a/test/whole/refusal_test.go
+++ b/test/whole/refusal_test.go
@@ -124,6 +124,30 @@
 	}
 }
 
+// TestWithdrawnKeyOfResentRequest checks that a request with a withdrawn key isn't acknowledged because it had to be sent more
+// than once: its job was accepted long before, by another request.
+func TestWithdrawnKeyOfResentRequest(t *testing.T) {
+	w := newRefusalWorld(t, 1)
+	for _, q := range []*hsmessage.WorkRequest{submitRequest("old"), {Action: hsmessage.WorkPutCatalog, Catalog: refusalCatalog(2, "/q/", "new")}} {
+		got := ask(w, q)
+		w.Await(10*time.Second, func() bool { return *got != "" })
+		if *got != verdictText(hsmessage.WorkDone) {
+			t.Fatalf("got %q, want %q", *got, hsmessage.WorkDone)
+		}
+	}
+	w.Run(10 * time.Second)
+	for _, n := range w.Controls {
+		w.Disconnect("entry", n.Peer(), true)
+	}
+	job := ask(w, submitRequest("old"))
+	w.Run(700 * time.Millisecond)
+	w.Heal()
+	w.Await(20*time.Second, func() bool { return *job != "" })
+	if want := string(hsmessage.StatusUnknown); *job != want {
+		t.Errorf("got %q, want %q", *job, want)
+	}
+}
+
 // TestCancelBehindSubmission cancels a job whose submission isn't committed yet. Its caller must not be told that there
 // is no such job, as it would run.
 func TestCancelBehindSubmission(t *testing.T) {
