--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -321,11 +321,12 @@
 // for forgetAfter and hold no placed run.
 func (d *Dispatcher) endLostRuns(now time.Time) {
 	for _, id := range d.workersWithRuns() {
-		expired := !now.Before(d.leaseExpiry(id, d.namedIncarnation(id)))
+		named := d.namedIncarnation(id)
+		expired := !now.Before(d.leaseExpiry(id, named))
 		var ends []hswork.End
 		for _, p := range d.placedOn(id) {
 			incarnation := p.assignment.EndpointIncarnation
-			over := expired || incarnation > d.namedIncarnation(id) && !now.Before(d.leaseExpiry(id, incarnation))
+			over := expired || incarnation > named && !now.Before(d.leaseExpiry(id, incarnation))
 			if over && !d.proposedEnds[p.run] {
 				ends = append(ends, d.lostEnd(p.run))
 			}
