--- a/review/_harness2/frame.go
+++ b/review/_harness2/frame.go
@@ -15,8 +15,8 @@
 	// frameGap is the time between two changes of a storm.
 	frameGap = 330 * time.Millisecond
 	// frameBefore and frameDuring are the numbers of changes before and while one control process is down.
-	frameBefore = 6
-	frameDuring = 15
+	frameBefore = 7
+	frameDuring = 14
 	// frameDown is how long that process is down.
 	frameDown = 7 * time.Second
 	// frameCalm is the time without any disruption after each of them; a machine no longer counts as lost after 6 s.
@@ -79,6 +79,7 @@
 		return nil, fmt.Errorf("%w: no leader", errNotRun)
 	}
 	behind, other := d.controls[(leader+1)%3], d.controls[(leader+2)%3]
+	time.Sleep(frameGap)
 	killedAt := time.Now()
 	if t.trouble {
 		behind.kill()
--- a/review/_harness2/main.go
+++ b/review/_harness2/main.go
@@ -40,8 +40,9 @@
 
 // cases holds the function of each case. It returns the violations of its rule.
 var cases = map[string]func(t *test) ([]string, error){
-	"ends":  runEnds,
-	"frame": runFrame,
+	"ends":     runEnds,
+	"frame":    runFrame,
+	"snapshot": runSnapshot,
 }
 
 // test is one run of a case.
--- a/review/_harness2/worker.go
+++ b/review/_harness2/worker.go
@@ -302,7 +302,7 @@
 	for _, e := range w.ended[:min(len(w.ended), maxListedEnds)] {
 		ended = append(ended, []any{e.number, e.run.task, e.run.number, e.run.how, ""})
 	}
-	if len(w.ended) > 50 {
+	if len(w.ended) > maxListedEnds/2 {
 		w.d.t.record.note("work hold on %s: %d ends, lists %d, seen %d", w.id, len(w.ended), len(ended), c.lastSeen)
 	}
 	return http.StatusOK, map[string]any{"running": running, "ended": ended}
