--- a/review/_harness2/worker.go
+++ b/review/_harness2/worker.go
@@ -96,14 +96,7 @@
 		w.mutex.Lock()
 		dead := w.dead
 		w.sequence++
-		body := map[string]any{
-			"service": pool, "address": w.listener.Addr().String(), "zone": "z", "version": "v1", "slots": 8, "state": "ready",
-			"coldRemainingMs": 0, "capacity": map[string]any{"cpu": w.cpu, "memMb": w.memory, "gpu": w.gpu},
-			"labels": []string{"a", "r1-1"}, "clockMs": w.clock(), "sequence": w.sequence, "born": w.born.UnixMilli(),
-		}
-		if !w.leavesAt.IsZero() {
-			body["state"], body[wire["drainLeft"]] = "draining", max(time.Until(w.leavesAt).Milliseconds(), 0)
-		}
+		body := w.heartbeat()
 		w.mutex.Unlock()
 		if dead {
 			return
@@ -146,6 +139,19 @@
 	_ = w.server.Close()
 }
 
+// heartbeat returns the body of a heartbeat.
+func (w *worker) heartbeat() map[string]any {
+	body := map[string]any{
+		"service": pool, "address": w.listener.Addr().String(), "zone": "z", "version": "v1", "slots": 8, "state": "ready",
+		"coldRemainingMs": 0, "capacity": map[string]any{"cpu": w.cpu, "memMb": w.memory, "gpu": w.gpu},
+		"labels": []string{"a", "r1-1"}, "clockMs": w.clock(), "sequence": w.sequence, "born": w.born.UnixMilli(),
+	}
+	if !w.leavesAt.IsZero() {
+		body["state"], body[wire["drainLeft"]] = "draining", max(time.Until(w.leavesAt).Milliseconds(), 0)
+	}
+	return body
+}
+
 // handle decodes a call, checks the intended worker, and passes it on.
 func (w *worker) handle(f func(c workerCall) (int, map[string]any)) http.HandlerFunc {
 	return func(out http.ResponseWriter, r *http.Request) {
