Review: show that a member that returns is never taken back for good

A replica that was replaced while it stood still rejoins as a learner and is removed at once by the stale Replaces of its successor. The vote of a machine that left is never filled, and the loss of two disks, which is to be borne, ends the cluster. The other cases move behind it, and the one of an unknown kind of end is dropped.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -2,4 +2,4 @@
 # Runs the case; see claim.txt. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2 ] && [ -x target/hyssopseam-node ] || exit 2
-exec target/review-2 how review/10
+exec target/review-2 frame review/10
--- a/review/_harness2/main.go
+++ b/review/_harness2/main.go
@@ -41,9 +41,9 @@
 // cases holds the function of each case. It returns the violations of its rule.
 var cases = map[string]func(t *test) ([]string, error){
 	"beat":     runBeat,
-	"how":      runHow,
 	"ends":     runEnds,
 	"frame":    runFrame,
+	"member":   runMember,
 	"snapshot": runSnapshot,
 }
 
