--- a/review/_harness2/ends.go
+++ b/review/_harness2/ends.go
@@ -19,12 +19,15 @@
 	// drainTimeout is what a draining worker announces; drainExtra is how much longer it goes on serving.
 	drainTimeout = 2 * time.Second
 	drainExtra   = 10 * time.Second
+	// endsKill is how long after the notice the control processes are killed, and endsDown how long they are down.
+	endsKill = 300 * time.Millisecond
+	endsDown = 900 * time.Millisecond
 	// endsWatch is how long the test watches after that.
 	endsWatch = 10 * time.Second
 )
 
-// runEnds submits jobs of many small tasks, which run on one worker. When the first of them ends, the worker drains. It
-// has more ends to list than one answer holds.
+// runEnds submits jobs of many small tasks, which run on one worker. When the first of them ends, the worker drains,
+// and the control processes are killed for a moment. The worker has more ends to list than one answer holds.
 func runEnds(t *test) ([]string, error) {
 	d, err := newDeployment(t, 3, 2, 2, 1)
 	if err != nil {
@@ -70,10 +73,19 @@
 		return nil, err
 	}
 	if t.trouble {
-		workers[0].drain(drainTimeout, drainExtra)
-	} else {
-		time.Sleep(drainTimeout + drainExtra)
+		go workers[0].drain(drainTimeout, drainExtra)
+		time.Sleep(endsKill)
+		for _, p := range d.controls {
+			p.kill()
+		}
+		time.Sleep(endsDown)
+		for _, p := range d.controls {
+			if err := p.start(); err != nil {
+				return nil, err
+			}
+		}
 	}
+	time.Sleep(drainTimeout + drainExtra)
 	time.Sleep(endsWatch)
 	for i, id := range ids {
 		d.call(i%2, http.MethodGet, "/q/"+id, nil)
