--- a/review/_harness2/worker.go
+++ b/review/_harness2/worker.go
@@ -145,7 +145,7 @@
 func (w *worker) heartbeat() map[string]any {
 	body := map[string]any{
 		"service": pool, "address": w.listener.Addr().String(), "zone": "z", "version": "v1", "slots": 8, "state": "ready",
-		"coldRemainingMs": 0, "capacity": map[string]any{"cpu": w.cpu, "memMb": w.memory, "gpu": w.gpu},
+		wire["cold"]: 0, "capacity": map[string]any{"cpu": w.cpu, "memMb": w.memory, "gpu": w.gpu},
 		"labels": []string{"a", "r1-1"}, "clockMs": w.clock(), "sequence": w.sequence, "born": w.born.UnixMilli(),
 	}
 	if !w.leavesAt.IsZero() {
