--- a/core/command/hsquorum/cluster_test.go
+++ b/core/command/hsquorum/cluster_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"hyssopseam/core/command/hsquorum"
@@ -188,14 +189,29 @@
 	}
 }
 
-// Snapshot encodes the list of applied commands.
+// Snapshot encodes the list of applied commands, rotated by a number that it starts with. Like the maps of a real state, its
+// order differs between replicas, so the snapshots of two replicas at the same index differ in their bytes.
 func (n *node) Snapshot() []byte {
-	data, _ := json.Marshal(n.applied)
+	shift := int(n.id) % len(n.applied)
+	names := slices.Concat([]string{strconv.Itoa(shift)}, n.applied[shift:], n.applied[:shift])
+	data, _ := json.Marshal(names)
 	return data
 }
 
 // Restore replaces the list of applied commands.
-func (n *node) Restore(data []byte) error { return json.Unmarshal(data, &n.applied) }
+func (n *node) Restore(data []byte) error {
+	var names []string
+	if err := json.Unmarshal(data, &names); err != nil {
+		return err
+	}
+	shift, err := strconv.Atoi(names[0])
+	if err != nil {
+		return err
+	}
+	first := len(names) - shift
+	n.applied = slices.Concat(names[first:], names[1:first])
+	return nil
+}
 
 // leaders returns the nodes that may act as the leader now.
 func (c *cluster) leaders() []*node {
--- a/core/command/hsquorum/scenario_test.go
+++ b/core/command/hsquorum/scenario_test.go
@@ -137,6 +137,29 @@
 				t.Errorf("got %d voters, want 4", got)
 			}
 		}},
+		// Guards against a snapshot put together from the parts of two leaders (review case 7).
+		{"the leader changes while a learner receives its snapshot", 3, 1, func(t *testing.T, c *cluster) {
+			waitForLeader(t, c)
+			for range 60 {
+				c.propose()
+				c.runTicks(4, tick)
+			}
+			c.proposeChange(4, 0)
+			for range 3 {
+				l := waitForLeader(t, c)
+				c.runTicks(10, tick)
+				if got := c.node(4).replica.CommitIndex(); got != 0 {
+					t.Fatalf("got a commit index of %d on the learner, want a snapshot under way", got)
+				}
+				clear(c.cutLinks)
+				c.isolate(l.id)
+				c.runTicks(30, tick)
+			}
+			clear(c.cutLinks)
+			c.runTicks(200, tick)
+			c.proposeChange(4, 1)
+			c.runTicks(20, tick)
+		}},
 		{"a cluster that replaced a lost replica survives a second loss", 3, 1, func(t *testing.T, c *cluster) {
 			l := waitForLeader(t, c)
 			lost := anyFollower(c, l)
--- a/core/command/hsquorum/snapshot.go
+++ b/core/command/hsquorum/snapshot.go
@@ -8,11 +8,19 @@
 	"hyssopseam/core/hsstate"
 )
 
+// snapshotID identifies the bytes of a snapshot that is being received. Snapshots of two replicas at the same index differ in
+// their bytes, as the state is encoded in no fixed order; the leader of one term sends only one snapshot of an index.
+type snapshotID struct {
+	leaderTerm hsid.Term
+	lastIndex  hsid.LogIndex
+	lastTerm   hsid.Term
+	total      hsid.Bytes
+}
+
 // partialSnapshot is the part of the leader's snapshot that this replica has received so far.
 type partialSnapshot struct {
-	index hsid.LogIndex
-	term  hsid.Term
-	data  []byte
+	id   snapshotID
+	data []byte
 }
 
 func entryCount(entries []hsstate.Entry) hsid.LogIndex {
@@ -113,20 +121,23 @@
 		})
 		return
 	}
-	if r.partial.index != m.LastIndex || r.partial.term != m.LastTerm {
-		r.partial = partialSnapshot{index: m.LastIndex, term: m.LastTerm}
+	id := snapshotID{leaderTerm: m.Term, lastIndex: m.LastIndex, lastTerm: m.LastTerm, total: m.Total}
+	if r.partial.id != id {
+		r.partial = partialSnapshot{id: id}
 	}
 	if m.Offset == hsid.Bytes(len(r.partial.data)) {
 		r.partial.data = append(r.partial.data, m.Data...)
 	}
-	if hsid.Bytes(len(r.partial.data)) == m.Total {
+	received := hsid.Bytes(len(r.partial.data))
+	if received == m.Total {
 		r.installSnapshot(m)
+		r.partial = partialSnapshot{}
 	}
 	r.send(m.Address, hsmessage.SnapshotReply{
 		Header:    r.header(m.From),
 		Round:     m.Round,
 		LastIndex: m.LastIndex,
-		Offset:    hsid.Bytes(len(r.partial.data)),
+		Offset:    received,
 	})
 }
 
@@ -158,7 +169,7 @@
 }
 
 // receiveSnapshotReply sends the next chunk, or the entries after the snapshot once the replica has all of it. It
-// ignores replies for a snapshot that is no longer the current one.
+// ignores replies for a snapshot that is no longer the current one, and positions outside of it.
 func (r *Replica) receiveSnapshotReply(m hsmessage.SnapshotReply) {
 	p := r.peers[m.From]
 	if r.role != Leader || p == nil {
@@ -168,12 +179,13 @@
 	if m.LastIndex != r.snapshot.Index || m.LastIndex != p.snapshotIndex {
 		return
 	}
-	if m.Offset == p.snapshotOffset && m.Offset < hsid.Bytes(len(r.snapshot.Data)) {
+	total := hsid.Bytes(len(r.snapshot.Data))
+	if m.Offset < 0 || m.Offset > total || m.Offset == p.snapshotOffset && m.Offset < total {
 		return
 	}
 	p.snapshotOffset = m.Offset
 	p.awaitingReply = false
-	if p.snapshotOffset == hsid.Bytes(len(r.snapshot.Data)) {
+	if p.snapshotOffset == total {
 		p.nextIndex = m.LastIndex + 1
 	}
 	r.replicateTo(m.From, p)
