hsquorum: batches are bounded by the encoded size of their entries

No configuration and no job was answered any more.

Cause: links drop messages above 8 MiB, and the leader bounded the entries of one message by an estimate that left out everything about step jobs: a configuration counted as 256 bytes. The replica that was behind was sent the same message above the limit with each heartbeat, and so no heartbeat either.

An entry is measured once, when it is appended, by encoding it into a counter. Batches, compaction and the retained part of the log go by that size; both estimates are removed. A command above 7 MiB is refused as invalid, with 400 for a configuration: accepted, it could reach no other replica. No format changes.

--- a/core/command/hscontrol/bench_test.go
+++ b/core/command/hscontrol/bench_test.go
@@ -83,7 +83,7 @@
 	config.Quorum.Address = "c"
 	config.Quorum.SnapshotEntries = 1 << 30
 	var err error
-	if l.control, err = New(config, Ports{Clock: l, Random: l, Sender: l, Storage: l, Codec: hscodec.State{}, Reader: l, Observer: l}, stored); err != nil {
+	if l.control, err = New(config, Ports{Clock: l, Random: l, Sender: l, Storage: l, Codec: hscodec.State{}, Sizer: hscodec.EntrySizer{}, Reader: l, Observer: l}, stored); err != nil {
 		b.Fatal(err)
 	}
 	l.now = l.now.Add(time.Second)
--- a/core/command/hscontrol/config.go
+++ b/core/command/hscontrol/config.go
@@ -171,6 +171,7 @@
 	Sender   Sender
 	Storage  hsquorum.Storage
 	Codec    StateCodec
+	Sizer    hsquorum.EntrySizer
 	Reader   Reader
 	Observer Observer
 	// Work observes decisions on step jobs.
--- a/core/command/hscontrol/control.go
+++ b/core/command/hscontrol/control.go
@@ -47,6 +47,7 @@
 		Sender:       p.Sender,
 		Storage:      p.Storage,
 		StateMachine: stateMachine{control},
+		Sizer:        p.Sizer,
 	}
 	var err error
 	if control.replica, err = hsquorum.New(control.config.Quorum, ports, stored); err != nil {
--- a/core/command/hscontrol/request.go
+++ b/core/command/hscontrol/request.go
@@ -1,10 +1,12 @@
 package hscontrol
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"time"
 
+	"hyssopseam/core/command/hsquorum"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
@@ -51,14 +53,18 @@
 }
 
 // proposeAndReply appends a command and answers the request once the command is applied. If leadership is lost
-// before that, the request isn't answered, and the entry sends it to the next leader. It reports whether the command was
-// appended.
+// before that, the request isn't answered, and the entry sends it to the next leader. A command that is too large is refused. It
+// reports whether the command was appended.
 func (c *Control) proposeAndReply(p pendingReply, command hsstate.Command) bool {
-	index, ok := c.propose(command)
-	if ok {
-		c.leader.pendingReplies[index] = p
+	index, err := c.replica.Propose(command)
+	if errors.Is(err, hsquorum.ErrTooLarge) {
+		c.reply(p, hsmessage.Reply{Status: hsmessage.StatusBad, Reason: err.Error()})
 	}
-	return ok
+	if err != nil {
+		return false
+	}
+	c.leader.pendingReplies[index] = p
+	return true
 }
 
 // handleSubmit proposes a submission unless the job is refused at once. A job that exists, or whose submission is in
@@ -84,8 +90,7 @@
 			return
 		}
 	}
-	if index, ok := c.propose(hsstate.Command{Submit: s}); ok {
-		c.leader.pendingReplies[index] = p
+	if c.proposeAndReply(p, hsstate.Command{Submit: s}) {
 		c.leader.submissionsInLog[s.ID]++
 	}
 }
--- a/core/command/hscontrol/work.go
+++ b/core/command/hscontrol/work.go
@@ -1,11 +1,13 @@
 package hscontrol
 
 import (
+	"errors"
 	"slices"
 	"time"
 
 	"hyssopseam/core/command/hscatalog"
 	"hyssopseam/core/command/hsdispatch"
+	"hyssopseam/core/command/hsquorum"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
 	"hyssopseam/core/hswork"
@@ -69,10 +71,18 @@
 		c.replyToWork(p, q, reply)
 		return
 	}
-	p.workReply = &reply
+	index, err := c.replica.Propose(hsstate.Command{Work: command})
+	if errors.Is(err, hsquorum.ErrTooLarge) {
+		c.replyToWork(p, q, workReply(hsmessage.WorkBad))
+		return
+	}
 	c.ports.Work.WorkAnswered(p.id, q, reply, c.state.Work.Catalog.Version)
-	appended := c.proposeAndReply(p, hsstate.Command{Work: command})
-	if appended && command.Submit != nil {
+	if err != nil {
+		return
+	}
+	p.workReply = &reply
+	c.leader.pendingReplies[index] = p
+	if command.Submit != nil {
 		id := command.Submit.Submission.ID
 		c.leader.stepJobsInLog[id] = append(c.leader.stepJobsInLog[id], p.id)
 	}
--- a/core/command/hsquorum/cluster_test.go
+++ b/core/command/hsquorum/cluster_test.go
@@ -108,7 +108,7 @@
 	config := n.cluster.config
 	config.ID = n.id
 	config.Address = address(n.id)
-	r, err := hsquorum.New(config, hsquorum.Ports{Clock: n, Random: n, Sender: n, Storage: n, StateMachine: n}, n.stored)
+	r, err := hsquorum.New(config, hsquorum.Ports{Clock: n, Random: n, Sender: n, Storage: n, StateMachine: n, Sizer: n}, n.stored)
 	if err != nil {
 		n.cluster.t.Fatalf("replica %d: got error %v from New, want none", n.id, err)
 	}
@@ -189,6 +189,12 @@
 	}
 }
 
+// entrySize is the size of each entry of the tests, with the replica's own overhead.
+const entrySize = 256
+
+// EntrySize returns a size that is the same for all entries.
+func (n *node) EntrySize(*hsstate.Entry) hsid.Bytes { return 0 }
+
 // Snapshot encodes the list of applied commands, rotated by a number that it starts with. Like the maps of a real state, its
 // order differs between replicas, so the snapshots of two replicas at the same index differ in their bytes.
 func (n *node) Snapshot() []byte {
--- a/core/command/hsquorum/config.go
+++ b/core/command/hsquorum/config.go
@@ -18,6 +18,7 @@
 	DefaultRetainEntries      = 512
 	DefaultSnapshotBytes      = 8 * hsid.MiB
 	DefaultSnapshotChunkBytes = 256 * hsid.KiB
+	DefaultMaxEntryBytes      = 7 * hsid.MiB
 )
 
 // leaderLeasePercent is the length of a leader lease in percent of the election timeout. The remaining 5 % allow
@@ -47,6 +48,8 @@
 	RetainEntries int
 	// SnapshotChunkBytes is the maximum size of one chunk of a snapshot transfer.
 	SnapshotChunkBytes hsid.Bytes
+	// MaxEntryBytes is the maximum size of one entry. A message with one such entry must be one that the Sender delivers.
+	MaxEntryBytes hsid.Bytes
 }
 
 // WithDefaults returns the configuration with zero timeouts and limits replaced by their defaults.
@@ -58,6 +61,7 @@
 	setDefault(&c.SnapshotBytes, DefaultSnapshotBytes)
 	setDefault(&c.RetainEntries, DefaultRetainEntries)
 	setDefault(&c.SnapshotChunkBytes, DefaultSnapshotChunkBytes)
+	setDefault(&c.MaxEntryBytes, DefaultMaxEntryBytes)
 	return c
 }
 
@@ -100,6 +104,12 @@
 	Restore(data []byte) error
 }
 
+// EntrySizer measures entries.
+type EntrySizer interface {
+	// EntrySize returns the encoded size of an entry in a message.
+	EntrySize(e *hsstate.Entry) hsid.Bytes
+}
+
 // Ports are the dependencies that a replica calls.
 type Ports struct {
 	Clock        Clock
@@ -107,6 +117,7 @@
 	Sender       Sender
 	Storage      Storage
 	StateMachine StateMachine
+	Sizer        EntrySizer
 }
 
 // HardState is the state besides the log that must survive a restart.
--- a/core/command/hsquorum/leader.go
+++ b/core/command/hsquorum/leader.go
@@ -43,7 +43,8 @@
 	r.electedAt = now
 	r.peers = map[hsid.ReplicaID]*progress{}
 	r.updatePeers()
-	r.termStartIndex = r.appendCommand(hsstate.Command{})
+	// An empty entry is never too large.
+	r.termStartIndex, _ = r.appendCommand(hsstate.Command{})
 	r.sendHeartbeats(now)
 }
 
--- a/core/command/hsquorum/log.go
+++ b/core/command/hsquorum/log.go
@@ -1,6 +1,8 @@
 package hsquorum
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"hyssopseam/core/hsid"
@@ -13,6 +15,8 @@
 	baseTerm  hsid.Term
 	baseClock time.Duration
 	entries   []hsstate.Entry
+	// sizes holds the size of each of the entries.
+	sizes []hsid.Bytes
 }
 
 // reset replaces the log by an empty one after the entry at index, with that entry's term and cluster time.
@@ -21,6 +25,7 @@
 	l.baseTerm = term
 	l.baseClock = clock
 	l.entries = nil
+	l.sizes = nil
 }
 
 func (l *entryLog) lastIndex() hsid.LogIndex {
@@ -55,8 +60,14 @@
 	return &l.entries[i-l.baseIndex-1]
 }
 
-// maxBatchBytes limits the estimated size of the entries in one message or save, so that it fits into a frame. A
-// single larger entry is sent on its own.
+// size returns the size of the entry at an index, with entryOverhead.
+func (l *entryLog) size(i hsid.LogIndex) hsid.Bytes { return l.sizes[i-l.baseIndex-1] }
+
+// entryOverhead is added to the encoded size of an entry, for what it takes in memory and in a message besides.
+const entryOverhead hsid.Bytes = 256
+
+// maxBatchBytes limits the size of the entries in one message or save, so that it fits into a frame. A single larger entry is
+// sent on its own; see Config.MaxEntryBytes.
 const maxBatchBytes = 2 * hsid.MiB
 
 // entriesFrom returns at most limit entries from index i on, within maxBatchBytes, but at least one if there is one.
@@ -65,7 +76,7 @@
 	n := 0
 	var size hsid.Bytes
 	for n < len(tail) && n < limit {
-		size += estimateWireSize(&tail[n].Command)
+		size += l.size(tail[n].Index)
 		if n > 0 && size > maxBatchBytes {
 			break
 		}
@@ -79,42 +90,33 @@
 	return l.entries[:len(l.entries):len(l.entries)]
 }
 
-// estimateWireSize returns about how many bytes a command takes in a message.
-func estimateWireSize(c *hsstate.Command) hsid.Bytes {
-	size := 256
-	switch {
-	case c.Rules != nil:
-		size += 2 * len(c.Rules.Content)
-	case c.Submit != nil:
-		size += len(c.Submit.Spec.Input)
-	case c.Finish != nil:
-		size += len(c.Finish.Answer)
-	case c.Cancel != nil:
-		size += 64 * len(c.Cancel.Jobs)
-	case c.Start != nil:
-		size += 512 * len(c.Start.Members)
-	}
-	return hsid.Bytes(size)
-}
-
 // truncateFrom drops the entries from index i on. Slices returned earlier stay unchanged.
 func (l *entryLog) truncateFrom(i hsid.LogIndex) {
 	kept := i - l.baseIndex - 1
 	l.entries = l.entries[:kept:kept]
+	l.sizes = l.sizes[:kept]
 }
 
 // compact drops the entries up to and including index i.
 func (l *entryLog) compact(i hsid.LogIndex) {
 	e := l.entry(i)
 	term, clock := e.Term, e.Clock
-	rest := append([]hsstate.Entry(nil), l.entries[i-l.baseIndex:]...)
+	rest, sizes := slices.Clone(l.entries[i-l.baseIndex:]), slices.Clone(l.sizes[i-l.baseIndex:])
 	l.reset(i, term, clock)
-	l.entries = rest
+	l.entries, l.sizes = rest, sizes
+}
+
+// entrySize returns the size of an entry, with entryOverhead.
+func (r *Replica) entrySize(e *hsstate.Entry) hsid.Bytes {
+	return entryOverhead + r.ports.Sizer.EntrySize(e)
 }
 
 // appendEntry appends an entry to the log. A configuration change takes effect as soon as it is appended.
-func (r *Replica) appendEntry(e hsstate.Entry) {
+func (r *Replica) appendEntry(e hsstate.Entry) { r.appendSizedEntry(e, r.entrySize(&e)) }
+
+func (r *Replica) appendSizedEntry(e hsstate.Entry, size hsid.Bytes) {
 	r.log.entries = append(r.log.entries, e)
+	r.log.sizes = append(r.log.sizes, size)
 	if m := e.Command.Members; m != nil {
 		r.setMembers(m.Cluster, m.Members, e.Index)
 	}
@@ -138,16 +140,21 @@
 	r.setMembers(r.snapshot.Cluster, r.snapshot.Members, r.snapshot.Index)
 }
 
-// appendCommand appends a command to the leader's own log, in its term, and returns its index.
-func (r *Replica) appendCommand(c hsstate.Command) hsid.LogIndex {
+// appendCommand appends a command to the leader's own log, in its term, and returns its index. It returns an ErrTooLarge, and
+// appends nothing, when the entry exceeds Config.MaxEntryBytes.
+func (r *Replica) appendCommand(c hsstate.Command) (hsid.LogIndex, error) {
 	e := hsstate.Entry{
 		Index:   r.log.lastIndex() + 1,
 		Term:    r.hardState.Term,
 		Clock:   max(r.Clock(), r.log.lastClock()),
 		Command: c,
 	}
-	r.appendEntry(e)
-	return e.Index
+	size := r.entrySize(&e)
+	if size > r.config.MaxEntryBytes {
+		return 0, fmt.Errorf("%w: an entry of %d bytes, the limit is %d", ErrTooLarge, size, r.config.MaxEntryBytes)
+	}
+	r.appendSizedEntry(e, size)
+	return e.Index, nil
 }
 
 // applyCommitted applies the entries that are committed and on the local disk, then compacts the log if that is due.
@@ -155,7 +162,7 @@
 	for r.appliedIndex < min(r.commitIndex, r.disk.syncedIndex) {
 		r.appliedIndex++
 		e := r.log.entry(r.appliedIndex)
-		r.bytesSinceSnapshot += e.Command.Size()
+		r.bytesSinceSnapshot += r.log.size(r.appliedIndex)
 		r.ports.StateMachine.Apply(*e)
 	}
 	r.compactLog()
--- a/core/command/hsquorum/replica.go
+++ b/core/command/hsquorum/replica.go
@@ -27,6 +27,8 @@
 	ErrNotLeader = errors.New("hsquorum: not the leader")
 	// ErrMembership: the membership change isn't allowed, or not yet.
 	ErrMembership = errors.New("hsquorum: membership change refused")
+	// ErrTooLarge: the command doesn't fit into one message between replicas.
+	ErrTooLarge = errors.New("hsquorum: command too large")
 )
 
 // Replica is one control replica: a member of the cluster, or one that is to join it.
@@ -161,8 +163,8 @@
 }
 
 // Propose appends a command to the leader's log and returns its index. The proposer knows that the entry is committed
-// only once StateMachine.Apply is called with it. Propose returns ErrNotLeader unless Leading, and ErrMembership for
-// a membership change that isn't allowed.
+// only once StateMachine.Apply is called with it. Propose returns ErrNotLeader unless Leading, ErrMembership for a
+// membership change that isn't allowed, and ErrTooLarge for a command above Config.MaxEntryBytes.
 func (r *Replica) Propose(c hsstate.Command) (hsid.LogIndex, error) {
 	if !r.Leading() {
 		return 0, ErrNotLeader
@@ -172,7 +174,7 @@
 			return 0, err
 		}
 	}
-	return r.appendCommand(c), nil
+	return r.appendCommand(c)
 }
 
 // Flush starts saving unsaved state and, on a leader, sends new entries to the other replicas.
--- a/core/command/hsquorum/scenario_test.go
+++ b/core/command/hsquorum/scenario_test.go
@@ -246,8 +246,7 @@
 	const maxBytes = 4 * hsid.KiB
 	c := newCluster(t, 3, 3, 0, hsquorum.Config{SnapshotBytes: maxBytes})
 	l := waitForLeader(t, c)
-	var empty hsstate.Command
-	maxEntries := int(maxBytes/empty.Size()) + int(maxBytes/2/empty.Size())
+	maxEntries := int(maxBytes/entrySize) + int(maxBytes/2/entrySize)
 	for range 100 {
 		c.propose()
 		c.runTicks(4, tick)
@@ -284,8 +283,7 @@
 // counted belongs to entries that the installed snapshot contains, and the next append must not compact the empty log.
 func TestSnapshotBesidePendingOne(t *testing.T) {
 	for _, seed := range []uint64{36, 423, 519, 987} {
-		var empty hsstate.Command
-		c := newCluster(t, seed, 3, 0, hsquorum.Config{SnapshotBytes: 3 * empty.Size(), RetainEntries: 1})
+		c := newCluster(t, seed, 3, 0, hsquorum.Config{SnapshotBytes: 3 * entrySize, RetainEntries: 1})
 		f := anyFollower(c, waitForLeader(t, c))
 		for range 600 {
 			f.diskStuck = c.random.IntN(3) > 0
--- a/core/command/hsquorum/snapshot.go
+++ b/core/command/hsquorum/snapshot.go
@@ -59,7 +59,7 @@
 	var keep hsid.LogIndex
 	var size hsid.Bytes
 	for i := r.appliedIndex; i > r.log.baseIndex && keep < hsid.LogIndex(r.config.RetainEntries); i-- {
-		size += r.log.entry(i).Command.Size()
+		size += r.log.size(i)
 		if size > r.config.SnapshotBytes/2 {
 			break
 		}
--- a/core/hsstate/command.go
+++ b/core/hsstate/command.go
@@ -21,27 +21,6 @@
 	Work    *hswork.Command
 }
 
-// commandOverhead is the approximate size of a command without its payload.
-const commandOverhead hsid.Bytes = 256
-
-// Size returns the approximate size of the command in the log.
-func (c *Command) Size() hsid.Bytes {
-	size := commandOverhead
-	if c.Rules != nil {
-		size += hsid.Bytes(len(c.Rules.Content))
-	}
-	if c.Submit != nil {
-		size += hsid.Bytes(len(c.Submit.Spec.Input))
-	}
-	if c.Finish != nil {
-		size += hsid.Bytes(len(c.Finish.Answer))
-	}
-	if c.Work != nil {
-		size += c.Work.Size()
-	}
-	return size
-}
-
 // PushRules puts a rule file into force, unless a file of the same or a higher number was accepted before.
 type PushRules struct {
 	Set RuleSet
--- a/core/hswork/state.go
+++ b/core/hswork/state.go
@@ -53,20 +53,6 @@
 	Zone *ZoneEvacuation
 }
 
-// catalogSizeFactor is the size of a catalog relative to its content: the content itself and the parsed form.
-const catalogSizeFactor = 2
-
-// Size returns the approximate size of the command in the log.
-func (c *Command) Size() hsid.Bytes {
-	switch {
-	case c.Catalog != nil:
-		return catalogSizeFactor * hsid.Bytes(len(c.Catalog.Content))
-	case c.Submit != nil:
-		return hsid.Bytes(len(c.Submit.Submission.Spec))
-	}
-	return 0
-}
-
 // Submit adds an accepted job, with the settings of its queue.
 type Submit struct {
 	Submission  Submission
--- a/internal/play/control.go
+++ b/internal/play/control.go
@@ -76,6 +76,7 @@
 		Sender:   n,
 		Storage:  n,
 		Codec:    hscodec.State{},
+		Sizer:    hscodec.EntrySizer{},
 		Reader:   hsreport.Reader{},
 		Observer: noopObserver{},
 		Work:     noopObserver{},
--- a/internal/play/world.go
+++ b/internal/play/world.go
@@ -25,6 +25,7 @@
 	"hyssopseam/core/hsstate"
 	"hyssopseam/core/hswork"
 	"hyssopseam/io/hscodec"
+	"hyssopseam/io/hslink"
 )
 
 // Config holds the size, the timing and the faults of a simulated deployment.
@@ -106,6 +107,8 @@
 	Bytes map[hsstate.Peer]int
 	// Messages counts the messages sent, including those that are lost.
 	Messages int
+	// Oversize counts the messages that were dropped because they don't fit into a frame, if EncodeMessages is set.
+	Oversize int
 }
 
 // New returns a world with one entry and the configured number of control replicas, which form one cluster.
@@ -241,7 +244,10 @@
 func (w *World) send(from, to hsstate.Peer, m hsmessage.Message) {
 	w.Messages++
 	if w.config.EncodeMessages {
-		m = w.roundTrip(from, to, m)
+		var ok bool
+		if m, ok = w.roundTrip(from, to, m); !ok {
+			return
+		}
 	}
 	times := 1
 	switch x := w.random.Float64(); {
@@ -263,19 +269,24 @@
 	}
 }
 
-// roundTrip encodes and decodes a message, and counts its bytes.
-func (w *World) roundTrip(from, to hsstate.Peer, m hsmessage.Message) hsmessage.Message {
+// roundTrip encodes and decodes a message, and counts its bytes. It reports false for a message that doesn't fit into a frame of
+// a link.
+func (w *World) roundTrip(from, to hsstate.Peer, m hsmessage.Message) (hsmessage.Message, bool) {
 	data, err := hscodec.EncodeMessage(m)
 	if err != nil {
 		panic(err)
 	}
+	if hsid.Bytes(len(data)) > hslink.MaxFrame {
+		w.Oversize++
+		return nil, false
+	}
 	w.Bytes[from] += len(data)
 	w.Bytes[to] += len(data)
 	m, err = hscodec.DecodeMessage(data)
 	if err != nil {
 		panic(err)
 	}
-	return m
+	return m, true
 }
 
 func (w *World) deliver(from, to hsstate.Peer, m hsmessage.Message) {
--- a/io/hsapp/role.go
+++ b/io/hsapp/role.go
@@ -164,6 +164,7 @@
 		Random:   hsclock.Random{},
 		Sender:   s,
 		Codec:    hscodec.State{},
+		Sizer:    hscodec.EntrySizer{},
 		Reader:   hsreport.Reader{},
 		Observer: b.metrics,
 		Work:     b.decisions,
--- a/io/hscodec/codec.go
+++ b/io/hscodec/codec.go
@@ -97,14 +97,19 @@
 	e := msgpack.GetEncoder()
 	defer msgpack.PutEncoder(e)
 	e.Reset(b)
-	e.UseArrayEncodedStructs(true)
-	e.UseCompactInts(true)
+	configure(e)
 	if err := e.Encode(v); err != nil {
 		return fmt.Errorf("hscodec: encode %T: %w", v, err)
 	}
 	return nil
 }
 
+// configure sets the format of an encoder that was reset.
+func configure(e *msgpack.Encoder) {
+	e.UseArrayEncodedStructs(true)
+	e.UseCompactInts(true)
+}
+
 // Unmarshal decodes a value that Marshal encoded. It trusts the lengths in the data; see UnmarshalUntrusted.
 func Unmarshal[T any](data []byte) (T, error) {
 	var v T
