hsdispatch: a plan defers starts whose specs don't fit into a message

Callers would see: jobs with many small tasks on one worker, whose runs lapse and start again.

Cause: a plan holds the spec of each run that its endpoint doesn't list yet, up to 4,000 bytes, and nothing bounded their sum. A plan above 8 MiB is dropped by the link, and built again the same; without a plan the runner's lease isn't extended either.

Beyond 2 MiB of specs a run is planned as listed, without a spec: the runner neither starts nor stops it. The next plan after the report that lists earlier ones starts it. No format changes.

--- a/core/command/hsdispatch/harness_test.go
+++ b/core/command/hsdispatch/harness_test.go
@@ -188,7 +188,7 @@
 	report := h.reports[hsid.InstanceID(worker)]
 	p := h.plans[report.Instance]
 	for _, r := range p.Runs {
-		if !slices.ContainsFunc(report.Running, func(x hsmessage.RunningTask) bool { return x.Run == r.Run }) {
+		if !isListed(report, r.Run) {
 			report.Running = append(report.Running, hsmessage.RunningTask{Run: r.Run})
 		}
 	}
@@ -198,6 +198,22 @@
 	h.report(worker)
 }
 
+// startPlanned lets a worker start the runs that its last plan has it start, and report them.
+func (h *harness) startPlanned(worker string) {
+	report := h.reports[hsid.InstanceID(worker)]
+	for _, r := range h.plans[report.Instance].Runs {
+		if !r.Listed && !isListed(report, r.Run) {
+			report.Running = append(report.Running, hsmessage.RunningTask{Run: r.Run})
+		}
+	}
+	h.report(worker)
+}
+
+// isListed reports whether a worker lists a run as running.
+func isListed(report *hsmessage.RunnerReport, run hswork.RunID) bool {
+	return slices.ContainsFunc(report.Running, func(x hsmessage.RunningTask) bool { return x.Run == run })
+}
+
 func (h *harness) applyPlans() {
 	for _, id := range h.workerIDs() {
 		h.applyPlan(id)
--- a/core/command/hsdispatch/plan.go
+++ b/core/command/hsdispatch/plan.go
@@ -24,6 +24,10 @@
 	}
 }
 
+// maxPlanSpecs limits the size of the specs in one plan, so that it fits into a message. The starts beyond it are deferred to
+// the plans after the reports that list earlier ones.
+const maxPlanSpecs = 2 * hsid.MiB
+
 // buildPlan returns the next plan for a runner: everything that its endpoint should run and stop.
 func (d *Dispatcher) buildPlan(w *worker) hsmessage.Plan {
 	d.serials[w.id]++
@@ -39,6 +43,7 @@
 		Controls:            d.controls,
 		Fence:               hswork.NewFence(d.term, d.epochs[w.id]),
 	}
+	var specs hsid.Bytes
 	for _, r := range d.placedOn(w.id) {
 		switch {
 		case r.assignment.EndpointIncarnation > incarnation || d.proposedEnds[r.run]:
@@ -47,7 +52,11 @@
 			// here.
 			p.Stops = append(p.Stops, r.run)
 		case d.shouldRun(r):
-			p.Runs = append(p.Runs, d.plannedRun(w, r))
+			run := d.plannedRun(w, r)
+			if specs += hsid.Bytes(len(run.Spec)); specs > maxPlanSpecs {
+				run.Listed, run.Spec = true, ""
+			}
+			p.Runs = append(p.Runs, run)
 		default:
 			p.Stops = append(p.Stops, r.run)
 		}
--- a/core/hsmessage/work.go
+++ b/core/hsmessage/work.go
@@ -140,7 +140,8 @@
 // PlannedRun is a run that should be in progress.
 type PlannedRun struct {
 	Run hswork.RunID
-	// Listed is set once the endpoint has listed the run; Spec is empty then.
+	// Listed is set once the endpoint has listed the run, and while its start is deferred. Spec is empty then, and the run
+	// isn't started.
 	Listed     bool
 	Spec       string
 	Checkpoint hswork.Checkpoint
