hsagent: a report defers answers that don't fit into a message

Callers would see: a worker whose tasks end at about the same time with large answers counts as silent, and the jobs on it are lost.

Cause: a report holds the answers of all ended tasks until the leader's orders drop them, and nothing bounded their sum. A report above 8 MiB is dropped by the link, and built again the same: the leader hears nothing of the worker any more.

Beyond 2 MiB of answers a task is reported as running, until those before it are dropped by the orders; a larger answer is reported alone. No format changes.

--- a/core/command/hsagent/report.go
+++ b/core/command/hsagent/report.go
@@ -139,7 +139,12 @@
 	a.sender.Send(a.leaseClient.Target(), a.buildReport())
 }
 
-// buildReport returns the complete state of the agent. Tasks that were dropped and have ended are left out.
+// maxReportAnswers limits the size of the answers in one report, so that it fits into a message. A larger answer is sent on its
+// own.
+const maxReportAnswers = 2 * hsid.MiB
+
+// buildReport returns the complete state of the agent. Tasks that were dropped and have ended are left out. A task whose answer
+// doesn't fit into this report is reported as running until the orders no longer list those before it.
 func (a *Agent) buildReport() hsmessage.AgentReport {
 	r := hsmessage.AgentReport{
 		Renewal:    a.leaseClient.Renew(hsmessage.RoleAgent),
@@ -152,11 +157,18 @@
 	if !a.endpointAnnounced() {
 		r.Worker.Leaving = true
 	}
+	var answers hsid.Bytes
 	for _, g := range a.grants() {
 		t := a.tasks[g]
-		if !t.dropped || !t.report.Phase.Ended() {
-			r.Tasks = append(r.Tasks, t.report)
+		if t.dropped && t.report.Phase.Ended() {
+			continue
+		}
+		report := t.report
+		if size := hsid.Bytes(len(report.Answer)); answers > 0 && answers+size > maxReportAnswers {
+			report = hsmessage.Task{Grant: g, Accelerators: report.Accelerators, Phase: hsmessage.TaskRunning, Ran: true}
 		}
+		answers += hsid.Bytes(len(report.Answer))
+		r.Tasks = append(r.Tasks, report)
 	}
 	return r
 }
