hsentry: a request that no link delivers is refused at once

Callers would see: an operator whose configuration is too large for a message, or has more than 131,072 keys, gets no clear answer, and sends it again for ever.

Cause: the link of the entry drops a message above 8 MiB with a log line, and the receiver ends the link at a list that is too long. The entry sent the request again until its outcome counted as unknown.

Evidence: TestRequestAboveLimit got no verdict for such a configuration.

The log line of a dropped message names its type.

--- a/core/command/hsentry/entry.go
+++ b/core/command/hsentry/entry.go
@@ -75,6 +75,12 @@
 	Send(to hsstate.Peer, m hsmessage.Message)
 }
 
+// Checker checks messages against the limits of the links.
+type Checker interface {
+	// Check returns an error for a message that would never be delivered.
+	Check(m hsmessage.Message) error
+}
+
 // Answerer receives the one answer to each request. It must not block.
 type Answerer interface {
 	Answer(r hsmessage.Reply)
@@ -86,6 +92,7 @@
 	Random   Random
 	Sender   Sender
 	Answerer Answerer
+	Checker  Checker
 }
 
 // pendingRequest is a request that waits for an answer. It is resent at resendAt and expires at deadline.
@@ -158,6 +165,14 @@
 		e.ports.Answerer.Answer(Refuse(&m, reason))
 		return m.ID
 	}
+	if err := e.ports.Checker.Check(m); err != nil {
+		r := hsmessage.Reply{ID: m.ID, Status: hsmessage.StatusBad, Reason: err.Error()}
+		if m.Work != nil {
+			r.Work = &hsmessage.WorkReply{Verdict: hsmessage.WorkBad}
+		}
+		e.ports.Answerer.Answer(r)
+		return m.ID
+	}
 	p := &pendingRequest{request: m, deadline: now.Add(timeout), backoff: initialBackoff, copies: map[hsstate.Peer]int{}}
 	e.pending[m.ID] = p
 	if m.Work != nil && e.leaseClient.AnswerLate() {
--- a/core/command/hsentry/entry_test.go
+++ b/core/command/hsentry/entry_test.go
@@ -27,6 +27,9 @@
 // Send records a message.
 func (p *fakePorts) Send(_ hsstate.Peer, m hsmessage.Message) { p.sent = append(p.sent, m) }
 
+// Check accepts every message.
+func (p *fakePorts) Check(hsmessage.Message) error { return nil }
+
 // Answer records an answer.
 func (p *fakePorts) Answer(r hsmessage.Reply) { p.answers = append(p.answers, r) }
 
@@ -48,7 +51,7 @@
 	}
 	for _, tt := range tables {
 		p := &fakePorts{now: time.Unix(10, 0)}
-		e := hsentry.New(hsentry.Config{Instance: "e", Controls: []hsstate.Peer{"c"}}, hsentry.Ports{Clock: p, Random: p, Sender: p, Answerer: p})
+		e := hsentry.New(hsentry.Config{Instance: "e", Controls: []hsstate.Peer{"c"}}, hsentry.Ports{Clock: p, Random: p, Sender: p, Answerer: p, Checker: p})
 		e.Wake()
 		if tt.lease {
 			renewal := p.sent[0].(hsmessage.Renewal)
@@ -102,7 +105,7 @@
 	}
 	for _, tt := range tables {
 		p := &fakePorts{now: time.Unix(10, 0)}
-		e := hsentry.New(hsentry.Config{Instance: "e", Controls: []hsstate.Peer{"c"}}, hsentry.Ports{Clock: p, Random: p, Sender: p, Answerer: p})
+		e := hsentry.New(hsentry.Config{Instance: "e", Controls: []hsstate.Peer{"c"}}, hsentry.Ports{Clock: p, Random: p, Sender: p, Answerer: p, Checker: p})
 		e.Wake()
 		e.Receive("c", hsmessage.Lease{Term: 1, Sequence: 1, Duration: 10 * time.Second, Number: 1, Rules: &hsstate.RuleSet{Number: 1}})
 		id := e.Do(tt.request, 30*time.Second)
@@ -124,7 +127,7 @@
 // that of the request.
 func TestResentIdentifier(t *testing.T) {
 	p := &fakePorts{now: time.Unix(10, 0)}
-	e := hsentry.New(hsentry.Config{Instance: "e", Controls: []hsstate.Peer{"c"}}, hsentry.Ports{Clock: p, Random: p, Sender: p, Answerer: p})
+	e := hsentry.New(hsentry.Config{Instance: "e", Controls: []hsstate.Peer{"c"}}, hsentry.Ports{Clock: p, Random: p, Sender: p, Answerer: p, Checker: p})
 	e.Wake()
 	e.Receive("c", hsmessage.Lease{Term: 1, Sequence: 1, Duration: 10 * time.Second, Number: 1, Rules: &hsstate.RuleSet{Number: 1}})
 	id := e.Do(hsmessage.Request{Work: &hsmessage.WorkRequest{Action: hsmessage.WorkSubmit}}, 30*time.Second)
@@ -165,7 +168,7 @@
 	}
 	for _, tt := range tables {
 		p := &fakePorts{now: time.Unix(10, 0)}
-		e := hsentry.New(hsentry.Config{Instance: "e", Controls: []hsstate.Peer{"c"}}, hsentry.Ports{Clock: p, Random: p, Sender: p, Answerer: p})
+		e := hsentry.New(hsentry.Config{Instance: "e", Controls: []hsstate.Peer{"c"}}, hsentry.Ports{Clock: p, Random: p, Sender: p, Answerer: p, Checker: p})
 		grant := func(sequence hsid.Sequence) {
 			e.Receive("c", hsmessage.Lease{Term: 1, Sequence: sequence, Duration: 2 * time.Second, Number: 1, Rules: &hsstate.RuleSet{Number: 1}})
 		}
--- a/internal/play/entry.go
+++ b/internal/play/entry.go
@@ -9,6 +9,7 @@
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
+	"hyssopseam/io/hslink"
 )
 
 // requestTimeout is the deadline that the entry gives each request.
@@ -36,7 +37,7 @@
 		Incarnation: w.incarnation(),
 		Controls:    w.controlPeers(),
 		Interval:    w.config.Interval,
-	}, hsentry.Ports{Clock: e.clock, Random: e.clock, Sender: e, Answerer: e})
+	}, hsentry.Ports{Clock: e.clock, Random: e.clock, Sender: e, Answerer: e, Checker: hslink.Limits{}})
 	e.timer = &wakeTimer{w: w, clock: e.clock, role: e.entry}
 	e.timer.rearm()
 	return e
--- a/internal/play/world.go
+++ b/internal/play/world.go
@@ -107,7 +107,7 @@
 	Bytes map[hsstate.Peer]int
 	// Messages counts the messages sent, including those that are lost.
 	Messages int
-	// Oversize counts the messages that were dropped because they don't fit into a frame, if EncodeMessages is set.
+	// Oversize counts the messages that were dropped because they exceed a limit of the links, if EncodeMessages is set.
 	Oversize int
 }
 
@@ -269,24 +269,21 @@
 	}
 }
 
-// roundTrip encodes and decodes a message, and counts its bytes. It reports false for a message that doesn't fit into a frame of
-// a link.
+// roundTrip encodes and decodes a message, and counts its bytes. It reports false for a message that a link wouldn't
+// deliver.
 func (w *World) roundTrip(from, to hsstate.Peer, m hsmessage.Message) (hsmessage.Message, bool) {
 	data, err := hscodec.EncodeMessage(m)
 	if err != nil {
 		panic(err)
 	}
-	if hsid.Bytes(len(data)) > hslink.MaxFrame {
+	decoded, err := hscodec.DecodeMessage(data)
+	if hsid.Bytes(len(data)) > hslink.MaxFrame || err != nil {
 		w.Oversize++
 		return nil, false
 	}
 	w.Bytes[from] += len(data)
 	w.Bytes[to] += len(data)
-	m, err = hscodec.DecodeMessage(data)
-	if err != nil {
-		panic(err)
-	}
-	return m, true
+	return decoded, true
 }
 
 func (w *World) deliver(from, to hsstate.Peer, m hsmessage.Message) {
--- a/io/hsapp/role.go
+++ b/io/hsapp/role.go
@@ -219,6 +219,7 @@
 		Random:   hsclock.Random{},
 		Sender:   s,
 		Answerer: b.process,
+		Checker:  hslink.Limits{},
 	})
 }
 
--- a/io/hscodec/codec.go
+++ b/io/hscodec/codec.go
@@ -142,19 +142,24 @@
 	return b.Bytes(), nil
 }
 
+// CheckMessage reports whether the lengths in an encoded message are within what DecodeMessage accepts.
+func CheckMessage(data []byte) error {
+	if len(data) == 0 {
+		return fmt.Errorf("%w: empty", ErrMessage)
+	}
+	return checkLengths(data[1:])
+}
+
 // DecodeMessage decodes a message. Data from a faulty or hostile peer causes an error, never a panic, and uses no more
 // memory than a message within the limits.
 func DecodeMessage(data []byte) (m hsmessage.Message, err error) {
-	if len(data) == 0 {
-		return nil, fmt.Errorf("%w: empty", ErrMessage)
+	if err := CheckMessage(data); err != nil {
+		return nil, err
 	}
 	e, ok := byKind[kind(data[0])]
 	if !ok {
 		return nil, fmt.Errorf("%w: unknown kind %d", ErrMessage, data[0])
 	}
-	if err := checkLengths(data[1:]); err != nil {
-		return nil, err
-	}
 	defer func() {
 		if r := recover(); r != nil {
 			m, err = nil, fmt.Errorf("%w: %v", ErrMessage, r)
--- a/io/hslink/links.go
+++ b/io/hslink/links.go
@@ -160,9 +160,9 @@
 
 // Send queues a message to a peer. It never blocks; a message that can't be queued is dropped.
 func (l *Links) Send(to hsstate.Peer, m hsmessage.Message) {
-	payload, err := hscodec.EncodeMessage(m)
-	if err != nil || hsid.Bytes(len(payload)) > MaxFrame {
-		l.log.Error("message can't be encoded or is too large", "to", to, "bytes", len(payload), "error", err)
+	payload, err := encode(m)
+	if err != nil {
+		l.log.Error("message can't be encoded or is too large", "to", to, "type", fmt.Sprintf("%T", m), "bytes", len(payload), "error", err)
 		l.Counters.Dropped.Add(1)
 		return
 	}
--- a/test/whole/size_test.go
+++ b/test/whole/size_test.go
@@ -12,6 +12,7 @@
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hswork"
 	"hyssopseam/internal/play"
+	"hyssopseam/io/hslink"
 )
 
 // largeCatalog returns a catalog of one pool and many queues, whose content has at least the given size.
@@ -103,6 +104,36 @@
 	}
 }
 
+// TestRequestAboveLimit checks that a request that doesn't fit into a message to the leader is refused at once. Guards
+// against one that is dropped each time it is sent, until its outcome counts as unknown, or that ends the link.
+func TestRequestAboveLimit(t *testing.T) {
+	tables := []struct {
+		name   string
+		change func(c *hswork.Catalog)
+		want   hsmessage.WorkVerdict
+	}{
+		{"a catalog within the limits", func(*hswork.Catalog) {}, hsmessage.WorkDone},
+		{"a catalog above the limit of a frame", func(c *hswork.Catalog) { c.Content = make([]byte, hslink.MaxFrame) }, hsmessage.WorkBad},
+		{"more keys than a list may have", func(c *hswork.Catalog) {
+			for i := range 200_000 {
+				c.Workspaces[0].Keys = append(c.Workspaces[0].Keys, fmt.Sprint(i))
+			}
+		}, hsmessage.WorkBad},
+	}
+	for _, tt := range tables {
+		w := sizeWorld(hsquorum.Config{})
+		w.Run(3 * time.Second)
+		c := largeCatalog(1, 1, hsid.KiB)
+		tt.change(c)
+		if got := doWork(t, w, &hsmessage.WorkRequest{Action: hsmessage.WorkPutCatalog, Catalog: c}); got != tt.want {
+			t.Errorf("%s: got verdict %s, want %s", tt.name, got, tt.want)
+		}
+		if w.Oversize > 0 {
+			t.Errorf("%s: got %d messages above the limit, want none", tt.name, w.Oversize)
+		}
+	}
+}
+
 // TestEntryAboveLimit checks that a command that doesn't fit into a message between replicas is refused, and that the
 // cluster goes on. Guards against an entry that no other replica ever receives (review case 10).
 func TestEntryAboveLimit(t *testing.T) {
