hsrunner: announcements of another service change nothing

Cause: within an incarnation the announcement with the highest sequence held, with its pool. The worker's own ones counted as older from then on.

TestAnnouncementOfAnotherService failed in all five rows.

The pool of an incarnation doesn't change. The one that most of its announcements name holds, by a majority vote; an announcement with another pool is logged and changes nothing, so its sequence doesn't count either. After a foreign first announcement two of the worker's own restore its pool.

--- a/core/command/hsrunner/lifecycle.go
+++ b/core/command/hsrunner/lifecycle.go
@@ -14,6 +14,9 @@
 	address    string
 	generation int
 	sequence   uint64
+	// poolVotes is the number of announcements that named the pool of endpoint, less those that named another one. The pool of
+	// an incarnation doesn't change, so announcements of another pool are from another writer.
+	poolVotes int
 
 	// clock is the newest known reading of the endpoint's clock, and clockReadAt when it was read.
 	clock       ClockReading
@@ -96,9 +99,34 @@
 		r.beginIncarnation(a, now)
 		return true
 	}
+	if a.Endpoint.Pool != s.endpoint.Pool {
+		r.handleOtherPool(s, a, now)
+		return true
+	}
 	if a.Sequence <= s.sequence {
 		return true
 	}
+	s.poolVotes++
+	r.adopt(s, a, now)
+	return true
+}
+
+// handleOtherPool handles an announcement that names another pool than those before it. It is ignored, and its sequence with
+// it, unless more announcements have named another pool than the one in use, which then was that of another writer.
+func (r *Runner) handleOtherPool(s *endpointState, a Announcement, now time.Time) {
+	s.poolVotes--
+	if s.poolVotes >= 0 {
+		r.ports.Observer.AnnouncementIgnored(a)
+		return
+	}
+	s.poolVotes = 1
+	r.reportDue = true
+	r.ports.Observer.EndpointChanged(a)
+	r.adopt(s, a, now)
+}
+
+// adopt takes over what an incarnation announces about itself.
+func (r *Runner) adopt(s *endpointState, a Announcement, now time.Time) {
 	s.sequence = a.Sequence
 	if s.endpoint.Leaving != a.Endpoint.Leaving {
 		r.reportDue = true
@@ -108,7 +136,6 @@
 	s.address = a.Address
 	s.updateClock(a.Clock, now)
 	s.updateLeaving(now)
-	return true
 }
 
 // beginIncarnation replaces the state of the endpoint by that of a new incarnation, about which nothing is known
@@ -120,6 +147,7 @@
 		address:      a.Address,
 		generation:   r.generations,
 		sequence:     a.Sequence,
+		poolVotes:    1,
 		lastAnswer:   now,
 		nextHold:     now,
 		calls:        map[hswork.RunID]*call{},
--- a/core/command/hsrunner/runner.go
+++ b/core/command/hsrunner/runner.go
@@ -66,6 +66,8 @@
 // Observer is notified of events and decisions, for logs and metrics. It must not block.
 type Observer interface {
 	EndpointChanged(a Announcement)
+	// AnnouncementIgnored is called for an announcement of another writer.
+	AnnouncementIgnored(a Announcement)
 	EndpointTerminated(id hswork.EndpointID, reason string)
 	// ShutdownNoticed is called for each notice of a shutdown; current is set if it ends the present incarnation.
 	ShutdownNoticed(n ShutdownNotice, current bool)
--- a/core/command/hsrunner/runner_test.go
+++ b/core/command/hsrunner/runner_test.go
@@ -48,6 +48,7 @@
 }
 
 func (h *harness) EndpointChanged(hsrunner.Announcement)         {}
+func (h *harness) AnnouncementIgnored(hsrunner.Announcement)     {}
 func (h *harness) EndpointTerminated(hswork.EndpointID, string)  {}
 func (h *harness) ShutdownNoticed(hsrunner.ShutdownNotice, bool) {}
 
@@ -442,6 +443,39 @@
 	}
 }
 
+// TestAnnouncementOfAnotherService checks that announcements of another writer, which name another service and have a count of
+// their own, neither take an endpoint out of its service nor make its own announcements count as older. Guards
+// against a worker on which nothing runs until its count has caught up (review case 8).
+func TestAnnouncementOfAnotherService(t *testing.T) {
+	const foreign, foreignCount = hswork.PoolName("legacy"), 57600
+	tables := []struct {
+		name string
+		// pools are the services named by one announcement after another; the last one is the endpoint's own and
+		// announces that it leaves.
+		pools []hswork.PoolName
+	}{
+		{"one after those of the endpoint", []hswork.PoolName{"pool", foreign, "pool"}},
+		{"one before those of the endpoint", []hswork.PoolName{foreign, "pool", "pool", "pool"}},
+		{"several after many of the endpoint", []hswork.PoolName{"pool", "pool", "pool", foreign, foreign, "pool"}},
+		{"one in two", []hswork.PoolName{"pool", foreign, "pool", foreign, "pool", foreign, "pool"}},
+		{"of two other services", []hswork.PoolName{"pool", "pool", foreign, "other", "pool"}},
+	}
+	for _, tt := range tables {
+		h := newHarness(t)
+		h.now = h.now.Add(time.Second)
+		for i, pool := range tt.pools {
+			e := hsmessage.Endpoint{ID: "e", Incarnation: initialIncarnation + 1, Pool: pool, Leaving: i == len(tt.pools)-1}
+			a := hsrunner.Announcement{Endpoint: e, Address: "a", Sequence: uint64(i + 1), Clock: h.reading()}
+			if pool != "pool" {
+				a.Sequence = uint64(foreignCount + i)
+			}
+			h.runner.HandleAnnouncement(a)
+			h.runner.Wake()
+		}
+		h.check(tt.name+": service and leaving", []any{h.report.Endpoint.Pool, h.report.Endpoint.Leaving}, []any{"pool", true})
+	}
+}
+
 // TestAnnouncementOfNobody checks that an announcement with a start far in the future, as another writer may send, doesn't
 // keep the runner from its endpoint once that has answered.
 func TestAnnouncementOfNobody(t *testing.T) {
--- a/internal/play/runner.go
+++ b/internal/play/runner.go
@@ -80,6 +80,9 @@
 // EndpointChanged does nothing.
 func (r *Runner) EndpointChanged(hsrunner.Announcement) {}
 
+// AnnouncementIgnored does nothing.
+func (r *Runner) AnnouncementIgnored(hsrunner.Announcement) {}
+
 // EndpointTerminated does nothing.
 func (r *Runner) EndpointTerminated(hswork.EndpointID, string) {}
 
--- a/io/hsdecision/recorder.go
+++ b/io/hsdecision/recorder.go
@@ -141,6 +141,12 @@
 	rc.log.Info("endpoint announced", "endpoint", e.ID, "life", e.Incarnation, "pool", e.Pool, "leaving", e.Leaving, "sequence", a.Sequence)
 }
 
+// AnnouncementIgnored records an announcement that isn't from the endpoint, as it names another pool.
+func (rc *Recorder) AnnouncementIgnored(a hsrunner.Announcement) {
+	e := a.Endpoint
+	rc.log.Warn("announcement of another writer is ignored", "endpoint", e.ID, "life", e.Incarnation, "pool", e.Pool, "sequence", a.Sequence)
+}
+
 // EndpointTerminated records that nothing runs on the endpoint any longer, and why.
 func (rc *Recorder) EndpointTerminated(id hswork.EndpointID, reason string) {
 	rc.log.Warn("endpoint is over", "endpoint", id, "reason", reason)
