hsrunner: nothing is concluded from a truncated list of ends

Cause: a worker returns 500 ends at a time. The runner took the first 500 for all of them: a stopped run that was neither listed as running nor as ended was reported as never started, and a planned one was started again.

Until a shorter one arrives the runner settles a stopped run only by its end, and starts nothing; the leader's acknowledgements bring the next ends. The simulated endpoints of TestWork list two ends at a time in half of its runs.

--- a/core/command/hsrunner/endpoint.go
+++ b/core/command/hsrunner/endpoint.go
@@ -105,6 +105,8 @@
 	EndpointIncarnation hswork.EndpointIncarnation
 	Running             []hsmessage.RunningTask
 	Ended               []hsmessage.EndedTask
+	// EndsTruncated is set when the endpoint may have more ends than Ended lists.
+	EndsTruncated bool
 }
 
 // ShutdownNotice is what an endpoint sends just before it ends.
--- a/core/command/hsrunner/lifecycle.go
+++ b/core/command/hsrunner/lifecycle.go
@@ -26,6 +26,8 @@
 	hasLists  bool
 	running   []hsmessage.RunningTask
 	ended     []hsmessage.EndedTask
+	// endsTruncated is set while the endpoint may have more ends than ended.
+	endsTruncated bool
 
 	// holdCount is the number of holds sent; holdPending is set while the long poll among them is unanswered.
 	holdCount   int
--- a/core/command/hsrunner/reconcile.go
+++ b/core/command/hsrunner/reconcile.go
@@ -135,9 +135,10 @@
 	}
 }
 
-// canStart reports whether nothing forbids starting a planned run that the endpoint doesn't list.
+// canStart reports whether nothing forbids starting a planned run that the endpoint doesn't list. While its list of ends is
+// truncated, the run may have ended.
 func (r *Runner) canStart(s *endpointState, p *hsmessage.PlannedRun, now time.Time) bool {
-	if s.neverStarted[p.Run] || p.Listed {
+	if s.neverStarted[p.Run] || p.Listed || s.endsTruncated {
 		return false
 	}
 	if _, refused := s.refused[p.Run]; refused || s.endpoint.Leaving || s.unconfirmed {
@@ -308,7 +309,7 @@
 }
 
 // applyLists replaces the lists by newer ones, and ignores older ones: answers on several connections may arrive out
-// of order. A confirmed stop is settled by lists that were requested after it.
+// of order. A confirmed stop is settled by lists that were requested after it, and that show the end of the run or all ends.
 func (r *Runner) applyLists(s *endpointState, res HoldResult) {
 	if res.Clock < s.listClock {
 		return
@@ -326,9 +327,10 @@
 	s.hasLists = true
 	s.running = res.Running
 	s.ended = res.Ended
+	s.endsTruncated = res.EndsTruncated
 	r.adjustPaces(s)
 	for run, c := range s.calls {
-		if c.confirmedBy == 0 || res.Number < c.confirmedBy || s.isRunning(run) {
+		if c.confirmedBy == 0 || res.Number < c.confirmedBy || s.isRunning(run) || s.endsTruncated && !s.hasEnded(run) {
 			continue
 		}
 		delete(s.calls, run)
--- a/core/command/hsrunner/runner_test.go
+++ b/core/command/hsrunner/runner_test.go
@@ -24,6 +24,8 @@
 	serial  hsid.Sequence
 	running []hsmessage.RunningTask
 	ended   []hsmessage.EndedTask
+	// truncated is set while the endpoint has more ends than it lists.
+	truncated bool
 }
 
 const initialIncarnation = hswork.EndpointIncarnation(77)
@@ -80,7 +82,7 @@
 	pending := h.holds
 	h.holds = nil
 	for _, hold := range pending {
-		result := hsrunner.HoldResult{Number: hold.Number, LongPoll: hold.LongPoll, EndpointIncarnation: initialIncarnation, Running: h.running, Ended: h.ended}
+		result := hsrunner.HoldResult{Number: hold.Number, LongPoll: hold.LongPoll, EndpointIncarnation: initialIncarnation, Running: h.running, Ended: h.ended, EndsTruncated: h.truncated}
 		result.Generation = hold.Target.Generation
 		result.Verdict = hsrunner.CallDone
 		result.Clock = h.reading()
@@ -221,6 +223,47 @@
 	h.check("never started, by lists requested after the stop", h.report.NeverStarted, []hswork.RunID{runID(0)})
 }
 
+// TestTruncatedEnds checks that a run isn't taken for one that never started, nor started again, while its end may be
+// among those that the endpoint hasn't listed yet. Guards against done tasks that run again (review case 9).
+func TestTruncatedEnds(t *testing.T) {
+	other := hsmessage.EndedTask{Number: 1, Run: runID(7), Kind: hswork.EndDone}
+	own := hsmessage.EndedTask{Number: 2, Run: runID(0), Kind: hswork.EndDone}
+	stop := func(h *harness) {
+		h.sendPlan(func(p *hsmessage.Plan) { p.Stops = []hswork.RunID{runID(0)} })
+		h.runner.HandleStopResult(runID(0), hsrunner.CallResult{Generation: 1, Verdict: hsrunner.CallDone, Clock: h.reading()})
+	}
+	start := func(h *harness) {
+		h.sendPlan(func(p *hsmessage.Plan) { p.Runs = []hsmessage.PlannedRun{plannedRun(0)} })
+	}
+	tables := []struct {
+		name string
+		plan func(h *harness)
+		// next are the ends behind the first ones.
+		next         []hsmessage.EndedTask
+		neverStarted []hswork.RunID
+		starts       int
+	}{
+		{"a stopped run that ended", stop, []hsmessage.EndedTask{own}, nil, 0},
+		{"a stopped run that never started", stop, nil, []hswork.RunID{runID(0)}, 0},
+		{"a planned run that ended", start, []hsmessage.EndedTask{own}, nil, 0},
+		{"a planned run that never started", start, nil, nil, 1},
+	}
+	for _, tt := range tables {
+		h := newHarness(t)
+		h.ended, h.truncated = []hsmessage.EndedTask{other}, true
+		h.answerHolds()
+		tt.plan(h)
+		h.answerHolds()
+		h.check(tt.name+": never started, with truncated lists", len(h.report.NeverStarted), 0)
+		h.check(tt.name+": starts, with truncated lists", len(h.starts), 0)
+		h.ended, h.truncated = tt.next, false
+		h.advance(time.Second)
+		h.answerHolds()
+		h.check(tt.name+": never started", h.report.NeverStarted, tt.neverStarted)
+		h.check(tt.name+": starts", len(h.starts), tt.starts)
+	}
+}
+
 // TestEndForgottenByNextLeader checks that a run that can't start is reported again when a plan names it again: the leader
 // that was told of it left it out of its plans before its end was committed, and lost the leadership.
 func TestEndForgottenByNextLeader(t *testing.T) {
--- a/internal/play/hold.go
+++ b/internal/play/hold.go
@@ -96,6 +96,10 @@
 // holdResult lists the running tasks and the unacknowledged ends.
 func (e *Endpoint) holdResult() hsrunner.HoldResult {
 	r := hsrunner.HoldResult{EndpointIncarnation: e.announced.Incarnation, Ended: slices.Clone(e.endedTasks)}
+	if limit := e.w.config.ListedEnds; limit > 0 && len(r.Ended) >= limit {
+		r.Ended = r.Ended[:limit]
+		r.EndsTruncated = true
+	}
 	r.Verdict = hsrunner.CallDone
 	r.Clock = e.clock()
 	for _, x := range e.sortedRuns() {
--- a/internal/play/world.go
+++ b/internal/play/world.go
@@ -46,6 +46,8 @@
 	LossRate      float64
 	DuplicateRate float64
 	DelayRate     float64
+	// ListedEnds is the largest number of ends that an endpoint lists at once; zero for all.
+	ListedEnds int
 	// Drift is the largest relative deviation of a node's clock rate from 1.
 	Drift float64
 	// EncodeMessages encodes and decodes every message, as on a link.
--- a/test/whole/work_test.go
+++ b/test/whole/work_test.go
@@ -63,6 +63,7 @@
 		PlatformJitter: time.Duration(rapid.SampledFrom([]int{1, 20, 300}).Draw(t, "jitter")) * time.Millisecond,
 		DelayRate:      rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "late"),
 		Drift:          0.015,
+		ListedEnds:     rapid.SampledFrom([]int{0, 2}).Draw(t, "listedEnds"),
 		EncodeMessages: true,
 	})
 	h := &workHarness{t: t, w: w}
