hsquorum: a slow replica isn't sent the same entries again and again

A heartbeat to a replica with a payload under way carries none. For entries it asks whether the log matches at the last of them; a replica that they haven't reached answers that it doesn't, and they are sent again. For a chunk, an answer to a later heartbeat without one to the chunk shows that either was lost. Replies from before the entries under way no longer restart them. No format changes.

--- a/core/command/hsquorum/cluster_test.go
+++ b/core/command/hsquorum/cluster_test.go
@@ -50,7 +50,9 @@
 	inFlight []envelope
 	// cutLinks are the links that lose every message, as sender and receiver.
 	cutLinks map[[2]hsid.ReplicaID]bool
-	config   hsquorum.Config
+	// held is a replica that receives nothing for now; messages to it stay in flight. 0 for none.
+	held   hsid.ReplicaID
+	config hsquorum.Config
 	// commandAt is the oracle: the one command applied at each index.
 	commandAt map[hsid.LogIndex]string
 	// acknowledged lists, in order, the commands whose proposer has applied them.
@@ -267,6 +269,12 @@
 	if !duplicate {
 		c.inFlight = slices.Delete(c.inFlight, i, i+1)
 	}
+	if e.to == c.held {
+		if !duplicate {
+			c.inFlight = append(c.inFlight, e)
+		}
+		return
+	}
 	n := c.node(e.to)
 	if n.replica == nil || c.cutLinks[[2]hsid.ReplicaID{e.from, e.to}] {
 		return
@@ -303,13 +311,19 @@
 // propose lets each acting leader propose a command with a unique name.
 func (c *cluster) propose() {
 	for _, n := range c.leaders() {
-		c.proposalCount++
-		name := fmt.Sprintf("x%d", c.proposalCount)
-		_, err := n.replica.Propose(hsstate.Command{Cancel: &hsstate.CancelJobs{Jobs: []hsid.JobID{hsid.JobID(name)}}})
-		if err == nil {
-			c.proposed[name] = proposal{proposer: n.id, term: n.replica.Term()}
-			n.replica.Flush()
-		}
+		n.propose()
+		n.replica.Flush()
+	}
+}
+
+// propose proposes a command with a unique name, without a flush.
+func (n *node) propose() {
+	c := n.cluster
+	c.proposalCount++
+	name := fmt.Sprintf("x%d", c.proposalCount)
+	_, err := n.replica.Propose(hsstate.Command{Cancel: &hsstate.CancelJobs{Jobs: []hsid.JobID{hsid.JobID(name)}}})
+	if err == nil {
+		c.proposed[name] = proposal{proposer: n.id, term: n.replica.Term()}
 	}
 }
 
--- a/core/command/hsquorum/leader.go
+++ b/core/command/hsquorum/leader.go
@@ -14,8 +14,11 @@
 	address    hsstate.Peer
 	matchIndex hsid.LogIndex
 	nextIndex  hsid.LogIndex
-	// awaitingReply is set while entries or a snapshot chunk are unacknowledged; the next heartbeat clears it.
+	// awaitingReply is set while entries or a snapshot chunk are unacknowledged. They were sent in payloadRound; payloadEnd is
+	// the index of the last of the entries, or 0 for a chunk.
 	awaitingReply bool
+	payloadRound  hsid.Sequence
+	payloadEnd    hsid.LogIndex
 	// unanswered are the rounds without a reply, oldest first.
 	unanswered []sentRound
 	// addedAt is when this leader began to send to the replica.
@@ -79,17 +82,50 @@
 	r.sendHeartbeats(now)
 }
 
-// sendHeartbeats sends the next request to every other member, also to those that haven't answered the last one.
+// sendHeartbeats sends the next request to every other member. Those that haven't acknowledged the last one are probed.
 func (r *Replica) sendHeartbeats(now time.Time) {
 	r.nextHeartbeat = now.Add(r.config.HeartbeatInterval)
 	for _, m := range r.members {
-		if p := r.peers[m.ID]; p != nil {
-			p.awaitingReply = false
+		p := r.peers[m.ID]
+		switch {
+		case p == nil:
+		case p.awaitingReply:
+			r.probe(m.ID, p)
+		default:
 			r.replicateTo(m.ID, p)
 		}
 	}
 }
 
+// probe sends a heartbeat to a replica that hasn't acknowledged the last entries or snapshot chunk. It doesn't carry them
+// again, as a replica that is slow to handle them would get ever more of them to handle. The reply shows whether they arrived:
+// the log matches at the last entry, or the chunk was answered before.
+func (r *Replica) probe(id hsid.ReplicaID, p *progress) {
+	if p.payloadEnd > 0 && p.payloadEnd < r.log.baseIndex {
+		p.awaitingReply = false
+		r.replicateTo(id, p)
+		return
+	}
+	var prev hsid.Term
+	if p.payloadEnd > 0 {
+		prev, _ = r.log.term(p.payloadEnd)
+	}
+	r.send(p.address, hsmessage.AppendRequest{
+		Header:    r.header(id),
+		Round:     r.nextRound(p),
+		PrevIndex: p.payloadEnd,
+		PrevTerm:  prev,
+		Commit:    r.commitIndex,
+	})
+}
+
+// nextRound returns the number of the next request to a replica, and records when it is sent.
+func (r *Replica) nextRound(p *progress) hsid.Sequence {
+	r.lastRound++
+	p.unanswered = append(p.unanswered, sentRound{round: r.lastRound, sentAt: r.ports.Clock.Now()})
+	return r.lastRound
+}
+
 // sendAppends sends new entries to the replicas that have answered the last ones.
 func (r *Replica) sendAppends() {
 	for _, m := range r.members {
@@ -104,8 +140,8 @@
 // replicateTo sends the entries from the replica's next index on, or the next snapshot chunk when the log no longer
 // holds them.
 func (r *Replica) replicateTo(id hsid.ReplicaID, p *progress) {
-	r.lastRound++
-	p.unanswered = append(p.unanswered, sentRound{round: r.lastRound, sentAt: r.ports.Clock.Now()})
+	round := r.nextRound(p)
+	p.payloadRound = round
 	if p.nextIndex <= r.log.baseIndex {
 		r.sendSnapshotChunk(id, p)
 		return
@@ -113,13 +149,14 @@
 	prev, _ := r.log.term(p.nextIndex - 1)
 	m := hsmessage.AppendRequest{
 		Header:    r.header(id),
-		Round:     r.lastRound,
+		Round:     round,
 		PrevIndex: p.nextIndex - 1,
 		PrevTerm:  prev,
 		Commit:    r.commitIndex,
 		Entries:   r.log.entriesFrom(p.nextIndex, r.config.MaxBatch),
 	}
 	p.awaitingReply = len(m.Entries) > 0
+	p.payloadEnd = p.nextIndex - 1 + entryCount(m.Entries)
 	r.send(p.address, m)
 }
 
@@ -132,6 +169,10 @@
 	}
 	p.recordReply(m.Round)
 	if !m.OK {
+		if p.awaitingReply && m.Round < p.payloadRound {
+			// Newer entries, from an index that an earlier reply suggested, are under way.
+			return
+		}
 		p.awaitingReply = false
 		p.nextIndex = max(p.matchIndex+1, min(m.Match+1, r.log.lastIndex()+1))
 		r.replicateTo(m.From, p)
@@ -142,6 +183,10 @@
 		p.nextIndex = p.matchIndex + 1
 		p.awaitingReply = false
 	}
+	if p.payloadEnd == 0 && m.Round > p.payloadRound {
+		// A later request was answered, so the snapshot chunk or the reply to it was lost.
+		p.awaitingReply = false
+	}
 	r.advanceCommit()
 	r.applyCommitted()
 	if r.role == Leader && !p.awaitingReply && p.nextIndex <= r.log.lastIndex() {
--- a/core/command/hsquorum/scenario_test.go
+++ b/core/command/hsquorum/scenario_test.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
 	"hyssopseam/core/command/hsquorum"
 	"hyssopseam/core/hsid"
+	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
 	"hyssopseam/internal/fixedseed"
 )
@@ -302,3 +304,70 @@
 		c.healAndCheck()
 	}
 }
+
+// payloads counts, for each replica, the entries and the bytes of snapshots that are in flight to it.
+func (c *cluster) payloads(to hsid.ReplicaID) (entries int, snapshot hsid.Bytes) {
+	for _, e := range c.inFlight {
+		switch m := e.message.(type) {
+		case hsmessage.AppendRequest:
+			if e.to == to {
+				entries += len(m.Entries)
+			}
+		case hsmessage.SnapshotChunk:
+			if e.to == to {
+				snapshot += hsid.Bytes(len(m.Data))
+			}
+		}
+	}
+	return entries, snapshot
+}
+
+// TestSlowReplica checks that a replica that is slow to handle its messages is sent what it hasn't acknowledged only once, and
+// that a part that was lost is sent again. Guards against heartbeats that each carry the same entries or the same part of
+// the state: a joining replica falls behind further with each of them, and is removed as silent.
+func TestSlowReplica(t *testing.T) {
+	const chunk = 16
+	tables := []struct {
+		name     string
+		learner  bool
+		entries  int
+		snapshot hsid.Bytes
+	}{
+		{"entries", false, 3, 0},
+		{"a part of the state", true, 0, chunk},
+	}
+	for _, tt := range tables {
+		for _, lost := range []bool{false, true} {
+			c := newCluster(t, 9, 3, 1, hsquorum.Config{SnapshotEntries: 20, RetainEntries: 4, SnapshotChunkBytes: chunk})
+			l := waitForLeader(t, c)
+			slow := anyFollower(c, l)
+			if tt.learner {
+				slow = c.node(4)
+				for range 30 {
+					c.propose()
+					c.runTicks(4, tick)
+				}
+			}
+			c.runTicks(8, tick)
+			if tt.learner {
+				c.proposeChange(slow.id, 0)
+				c.runTicks(8, tick)
+			}
+			c.held = slow.id
+			for range tt.entries {
+				l.propose()
+			}
+			l.replica.Flush()
+			c.runTicks(80, tick)
+			entries, snapshot := c.payloads(slow.id)
+			if entries != tt.entries || snapshot != tt.snapshot {
+				t.Errorf("%s: got %d entries and %d bytes of the state in flight, want %d and %d", tt.name, entries, snapshot, tt.entries, tt.snapshot)
+			}
+			if lost {
+				c.inFlight = slices.DeleteFunc(c.inFlight, func(e envelope) bool { return e.to == slow.id })
+			}
+			c.held = 0
+			c.healAndCheck()
+		}
+	}
+}
--- a/core/command/hsquorum/snapshot.go
+++ b/core/command/hsquorum/snapshot.go
@@ -89,9 +89,10 @@
 	total := hsid.Bytes(len(r.snapshot.Data))
 	end := min(p.snapshotOffset+r.config.SnapshotChunkBytes, total)
 	p.awaitingReply = true
+	p.payloadEnd = 0
 	r.send(p.address, hsmessage.SnapshotChunk{
 		Header:    r.header(id),
-		Round:     r.lastRound,
+		Round:     p.payloadRound,
 		LastIndex: r.snapshot.Index,
 		LastTerm:  r.snapshot.Term,
 		Clock:     r.snapshot.Clock,
