hslink: a peer is dialled at once when its host connects

Cause: while a machine is down, the leader's link to it is dialled with pauses of up to 2 s, and a dial that begins just before its return waits 1.5 s for a packet that was lost.

Evidence: TestRedialOfReturnedPeer, with pauses of an hour, got no message without the change.

A joining replica connects to the leader to send its request. An accepted connection now ends the pause and the dial of the peers on that host, which are dialled again at once. That happens once for each accepted connection, so nothing spins.

--- a/io/hslink/links.go
+++ b/io/hslink/links.go
@@ -5,7 +5,8 @@
 // arrived for three heartbeats is closed and dialled again, even if TCP still considers it open. Messages may be lost
 // when a connection ends or a queue is full: senders must resend the ones that matter.
 //
-// A peer with an address is dialled on the first message to it and kept connected. A peer that dialled this process is
+// A peer with an address is dialled on the first message to it and kept connected. One that can't be reached is dialled again
+// with increasing pauses, and at once when its host connects to this process. A peer that dialled this process is
 // addressed by its instance; a newer connection from the same instance replaces the older one. Memory is bounded: at
 // most Backlog messages are queued for each peer, and the size of frames is limited.
 //
@@ -23,6 +24,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -39,13 +41,15 @@
 
 // Defaults of a Config, and fixed limits.
 const (
-	DefaultHeartbeat = 500 * time.Millisecond
-	DefaultBacklog   = 512
+	DefaultHeartbeat      = 500 * time.Millisecond
+	DefaultBacklog        = 512
+	DefaultRedialDelay    = 50 * time.Millisecond
+	DefaultMaxRedialDelay = time.Second
 
 	// silentHeartbeats is the number of heartbeats without a frame after which a connection is closed.
 	silentHeartbeats = 3
-	firstRedialDelay = 50 * time.Millisecond
-	maxRedialDelay   = time.Second
+	// acceptRetryDelay is the pause after an error while accepting a connection.
+	acceptRetryDelay = 50 * time.Millisecond
 	// maxIdle is how long after the last message to a peer its connection is dialled again when it ends. An open
 	// connection isn't closed for being idle.
 	maxIdle = time.Minute
@@ -61,6 +65,10 @@
 	Source    net.IP
 	Heartbeat time.Duration
 	Backlog   int
+	// RedialDelay is the shortest pause before a peer is dialled again, and MaxRedialDelay the longest; each pause takes up
+	// to twice as long, and ends when the peer's host connects to this process.
+	RedialDelay    time.Duration
+	MaxRedialDelay time.Duration
 	// ServerTLS and ClientTLS configure TLS for accepted and dialled connections; nil for plain TCP.
 	ServerTLS *tls.Config
 	ClientTLS *tls.Config
@@ -105,6 +113,8 @@
 type dialledPeer struct {
 	out      chan []byte
 	lastUsed atomic.Int64
+	// wake ends the pause before the next dial, or the dial in progress, which may be waiting for a host that was down.
+	wake chan struct{}
 }
 
 // New returns links that don't listen yet.
@@ -115,6 +125,12 @@
 	if c.Backlog == 0 {
 		c.Backlog = DefaultBacklog
 	}
+	if c.RedialDelay == 0 {
+		c.RedialDelay = DefaultRedialDelay
+	}
+	if c.MaxRedialDelay == 0 {
+		c.MaxRedialDelay = DefaultMaxRedialDelay
+	}
 	l := &Links{
 		config:   c,
 		log:      log,
@@ -184,7 +200,7 @@
 	}
 	d := l.dialled[to]
 	if d == nil {
-		d = &dialledPeer{out: make(chan []byte, l.config.Backlog)}
+		d = &dialledPeer{out: make(chan []byte, l.config.Backlog), wake: make(chan struct{}, 1)}
 		l.dialled[to] = d
 		l.goroutines.Go(func() { l.keepConnected(to, d) })
 	}
@@ -205,7 +221,7 @@
 		}
 		if err != nil {
 			l.log.Warn("accepting a connection failed", "error", err)
-			l.sleep(firstRedialDelay)
+			l.sleep(acceptRetryDelay, nil)
 			continue
 		}
 		l.goroutines.Go(func() { l.serve(n) })
@@ -231,6 +247,7 @@
 	}
 	l.accepted[peer] = c
 	l.mutex.Unlock()
+	l.wakeDialler(n.RemoteAddr())
 	l.readAndWrite(c, r, peer)
 	l.mutex.Lock()
 	if l.accepted[peer] == c {
@@ -241,21 +258,48 @@
 
 // keepConnected dials a peer again whenever its connection ends, until nothing was sent to it for maxIdle.
 func (l *Links) keepConnected(to hsstate.Peer, d *dialledPeer) {
-	delay := firstRedialDelay
+	delay := l.config.RedialDelay
 	for l.context.Err() == nil && !l.forgetIdle(to, d) {
 		began := time.Now()
-		if err := l.connect(to, d); err != nil {
+		err := l.connect(to, d)
+		if errors.Is(err, errWoken) {
+			continue
+		}
+		if err != nil {
 			l.log.Debug("connection ended", "peer", to, "error", err)
 			l.dropQueued(d)
 			if l.config.OnUnreachable != nil && l.context.Err() == nil {
 				l.config.OnUnreachable(to)
 			}
 		}
-		if time.Since(began) > maxRedialDelay {
-			delay = firstRedialDelay
+		if time.Since(began) > l.config.MaxRedialDelay {
+			delay = l.config.RedialDelay
+		}
+		if l.sleep(delay+rand.N(delay), d.wake) {
+			delay = l.config.RedialDelay
+			continue
+		}
+		delay = min(2*delay, l.config.MaxRedialDelay)
+	}
+}
+
+// wakeDialler dials the peers on a host that has just connected at once. Such a host may have been down; a dial that began
+// then waits for a packet that is sent again only after a second or more.
+func (l *Links) wakeDialler(from net.Addr) {
+	host, _, err := net.SplitHostPort(from.String())
+	if err != nil {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for address, d := range l.dialled {
+		if h, _, err := net.SplitHostPort(string(address)); err != nil || h != host {
+			continue
+		}
+		select {
+		case d.wake <- struct{}{}:
+		default:
 		}
-		l.sleep(delay + rand.N(delay))
-		delay = min(2*delay, maxRedialDelay)
 	}
 }
 
@@ -288,7 +332,7 @@
 	if l.config.Source != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: l.config.Source}
 	}
-	n, err := dialer.DialContext(l.context, "tcp", string(to))
+	n, err := l.dial(&dialer, to, d)
 	if err != nil {
 		return fmt.Errorf("hslink: %w", err)
 	}
@@ -311,6 +355,33 @@
 	return l.readAndWrite(c, r, to)
 }
 
+// errWoken is the reason for giving up a dial when the peer's host has connected to this process meanwhile.
+var errWoken = errors.New("hslink: the peer's host has connected")
+
+// dial opens a connection. It returns errWoken when the peer's host connects to this process meanwhile.
+func (l *Links) dial(dialer *net.Dialer, to hsstate.Peer, d *dialledPeer) (net.Conn, error) {
+	select {
+	case <-d.wake: // It was for an earlier dial.
+	default:
+	}
+	dialing, cancel := context.WithCancel(l.context)
+	defer cancel()
+	var woken atomic.Bool
+	l.goroutines.Go(func() {
+		select {
+		case <-d.wake:
+			woken.Store(true)
+			cancel()
+		case <-dialing.Done():
+		}
+	})
+	n, err := dialer.DialContext(dialing, "tcp", string(to))
+	if err != nil && woken.Load() {
+		return nil, errWoken
+	}
+	return n, err
+}
+
 // handshake exchanges hello frames.
 func (l *Links) handshake(c *conn, outgoing bool) (hello, *bufio.Reader, error) {
 	payload, err := l.config.hello()
@@ -375,11 +446,15 @@
 	l.mutex.Unlock()
 }
 
-func (l *Links) sleep(d time.Duration) {
+// sleep pauses, and reports whether wake ended the pause.
+func (l *Links) sleep(d time.Duration, wake <-chan struct{}) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
+	case <-wake:
+		return true
 	case <-t.C:
 	case <-l.context.Done():
 	}
+	return false
 }
--- a/io/hslink/links_test.go
+++ b/io/hslink/links_test.go
@@ -116,3 +116,26 @@
 		t.Errorf("got %d silent connections closed, want at least 1", n)
 	}
 }
+
+// TestRedialOfReturnedPeer checks that a peer that was down is dialled as soon as its host connects to this process, whatever
+// pause or dial was in progress. Guards against a joining replica that hears nothing from the leader for seconds.
+func TestRedialOfReturnedPeer(t *testing.T) {
+	const addressA, addressB = "127.150.0.5:7100", "127.150.0.6:7100"
+	unreachable := make(chan hsstate.Peer, 1)
+	c := config("a", addressA, hsmessage.RoleControl)
+	c.Source = net.ParseIP("127.150.0.5")
+	c.RedialDelay, c.MaxRedialDelay = time.Hour, time.Hour
+	c.OnUnreachable = func(p hsstate.Peer) { unreachable <- p }
+	a, _ := listen(t, c)
+	a.Send(addressB, hsmessage.Renewal{Instance: "x"})
+	select {
+	case <-unreachable:
+	case <-time.After(limit):
+		t.Fatal("got no notice that the peer can't be reached")
+	}
+	c = config("b", addressB, hsmessage.RoleControl)
+	c.Source = net.ParseIP("127.150.0.6")
+	b, got := listen(t, c)
+	b.Send(addressA, hsmessage.Renewal{Instance: "y"})
+	deliver(t, a, addressB, got)
+}
