--- a/test/whole/member_test.go
+++ b/test/whole/member_test.go
@@ -28,8 +28,15 @@
 	lost        map[int]bool
 	isolated    map[int]bool
 	recoveredAt map[int]time.Duration
+	// goneAt is when replicas left for good, at the earliest when their successors started. They count as lost until
+	// recoveryTime after it. retiring is the replica that a successor was started for, or -1.
+	goneAt   map[int]time.Duration
+	retiring int
 }
 
+// maxGone is the number of replicas that leave for good.
+const maxGone = 4
+
 func newMemberHarness(t *rapid.T) *memberHarness {
 	control := hscontrol.Config{ReplaceAfter: 1500 * time.Millisecond}
 	control.Quorum.SnapshotEntries = rapid.SampledFrom([]int{10, 1000}).Draw(t, "snapshotEvery")
@@ -46,7 +53,7 @@
 		Drift:          0.015,
 		EncodeMessages: true,
 	})
-	h := &memberHarness{workHarness: &workHarness{t: t, w: w}, lost: map[int]bool{}, isolated: map[int]bool{}, recoveredAt: map[int]time.Duration{}}
+	h := &memberHarness{workHarness: &workHarness{t: t, w: w}, lost: map[int]bool{}, isolated: map[int]bool{}, recoveredAt: map[int]time.Duration{}, goneAt: map[int]time.Duration{}, retiring: -1}
 	w.Run(5 * time.Second)
 	h.putCatalog()
 	w.Run(2 * time.Second)
@@ -55,8 +62,17 @@
 
 // tryLose marks a replica as lost. It reports false and marks nothing if maxLostDisks others are lost.
 func (h *memberHarness) tryLose(i int) bool {
+	if _, gone := h.goneAt[i]; gone {
+		return false
+	}
 	count := 0
 	for k, n := range h.w.Controls {
+		if at, gone := h.goneAt[k]; gone {
+			if h.w.Now()-at < recoveryTime {
+				count++
+			}
+			continue
+		}
 		if k != i && (h.lost[k] || n.Role() == nil || h.w.Now()-h.recoveredAt[k] < recoveryTime && h.recoveredAt[k] > 0) {
 			count++
 		}
@@ -109,8 +125,10 @@
 		for k := range w.Controls {
 			h.markRecovered(k)
 		}
+	case action < 93:
+		h.replace(i)
 	default:
-		if n.Role() == nil {
+		if _, gone := h.goneAt[i]; n.Role() == nil && !gone {
 			n.Start()
 			h.lost[i] = true
 			h.markRecovered(i)
@@ -118,22 +136,54 @@
 	}
 }
 
+// replace starts a successor for a replica, and at the next call lets that replica leave for good.
+func (h *memberHarness) replace(i int) {
+	switch {
+	case h.retiring >= 0:
+		if h.tryLose(h.retiring) {
+			h.w.Controls[h.retiring].Crash(true)
+			h.goneAt[h.retiring] = h.w.Now()
+			delete(h.lost, h.retiring)
+			delete(h.isolated, h.retiring)
+			h.retiring = -1
+		}
+	case len(h.goneAt) < maxGone && h.w.Controls[i].Role() != nil:
+		h.retiring = i
+		added := h.w.AddControl()
+		h.recoveredAt[slices.Index(h.w.Controls, added)] = h.w.Now()
+	}
+}
+
 // losePower wipes maxLostDisks disks while all other replicas lose power, and starts all again. It does nothing
 // unless all replicas are running and none counts as lost.
 func (h *memberHarness) losePower(firstWiped int) {
 	for k := range h.w.Controls {
+		if _, gone := h.goneAt[k]; gone && h.w.Now()-h.goneAt[k] >= recoveryTime {
+			continue
+		}
 		if h.lost[k] || h.w.Controls[k].Role() == nil || h.recoveredAt[k] > 0 && h.w.Now()-h.recoveredAt[k] < recoveryTime {
 			return
 		}
 	}
-	for k, n := range h.w.Controls {
-		if k == firstWiped || k == (firstWiped+1)%len(h.w.Controls) {
+	if _, gone := h.goneAt[firstWiped]; gone {
+		return
+	}
+	wiped := 0
+	for k := range h.w.Controls {
+		n := h.w.Controls[(firstWiped+k)%len(h.w.Controls)]
+		switch {
+		case n.Role() == nil: // It has left for good.
+		case wiped < maxLostDisks:
+			wiped++
 			n.Wipe()
-			continue
+		default:
+			n.Crash(rapid.Bool().Draw(h.t, "written"))
 		}
-		n.Crash(rapid.Bool().Draw(h.t, "written"))
 	}
 	for k, n := range h.w.Controls {
+		if _, gone := h.goneAt[k]; gone {
+			continue
+		}
 		n.Start()
 		h.lost[k] = true
 		h.markRecovered(k)
@@ -146,12 +196,14 @@
 	w := h.w
 	w.Heal()
 	w.StopFaults()
-	for _, n := range w.Controls {
-		n.Start()
+	for k, n := range w.Controls {
+		if _, gone := h.goneAt[k]; !gone {
+			n.Start()
+		}
 	}
 	healthy := func() bool {
 		l := w.Leader()
-		if l == nil || len(l.Replica().Members()) != len(w.Controls) || len(hsstate.Voters(l.Replica().Members())) != len(w.Controls) {
+		if l == nil || len(l.Replica().Members()) != 2*maxLostDisks+1 || len(hsstate.Voters(l.Replica().Members())) != 2*maxLostDisks+1 {
 			return false
 		}
 		for _, m := range l.Replica().Members() {
@@ -181,7 +233,8 @@
 
 // TestMembers crashes, wipes, isolates and restarts five control replicas at random, at most two at once, counting
 // those that came back less than recoveryTime ago. Sometimes two disks are lost while all other replicas lose power.
-// No acknowledged catalog may be lost, and all replicas must become voters again without an operator.
+// Some replicas are replaced as planned, the successor first, whatever else happens meanwhile. No acknowledged catalog may be lost,
+// and as many replicas as are configured must be voters again without an operator.
 func TestMembers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := newMemberHarness(t)
