hsid: a life that returns is no earlier one any more

Callers would see what follows from a report of an ended process that counts as the present one: orders for a process that isn't there.

Cause: when an earlier life returned, its entry among the earlier ones stayed, with its sequence from before. Displaced once more, its late messages were compared with that one.

Evidence: a new row of TestLives accepted a message with sequence 30 of a life that had reached 40.

The entry is removed on return. Present, which had no caller, is gone.

--- a/core/hsid/lives.go
+++ b/core/hsid/lives.go
@@ -1,6 +1,9 @@
 package hsid
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxEarlierLives is the number of earlier lives of a process that are remembered.
@@ -31,9 +34,6 @@
 	newest      Sequence
 }
 
-// Present returns the incarnation of the present life; zero before the first message.
-func (l *Lives) Present() Incarnation { return l.present }
-
 // Accept records a message and reports whether it is from the present life and newer than all before it.
 func (l *Lives) Accept(i Incarnation, s Sequence, now time.Time) bool {
 	if i == l.present {
@@ -48,6 +48,7 @@
 			if !l.returns(&l.earlier[k], s, now) {
 				return false
 			}
+			l.earlier = slices.Delete(l.earlier, k, k+1)
 			break
 		}
 	}
--- a/core/hsid/lives_test.go
+++ b/core/hsid/lives_test.go
@@ -34,6 +34,13 @@
 			{4 * time.Second, 3, 4, false}, {4500 * time.Millisecond, 3, 5, false}, {5 * time.Second, 3, 6, true},
 			{5500 * time.Millisecond, 3, 7, true}, {6 * time.Second, 2, 2, false},
 		}},
+		// Guards against late messages of a life that returned once, compared with a sequence from before its return.
+		{"late messages of a life that returned and has ended since", []message{
+			{0, 1, 9, true}, {time.Second, 2, 1, true},
+			{3 * time.Second, 1, 19, false}, {4 * time.Second, 1, 20, true}, {5 * time.Second, 1, 40, true},
+			{6 * time.Second, 3, 1, true},
+			{8 * time.Second, 1, 25, false}, {9 * time.Second, 1, 30, false}, {10 * time.Second, 3, 2, true},
+		}},
 		{"many restarts", []message{
 			{0, 1, 1, true}, {1, 2, 1, true}, {2, 3, 1, true}, {3, 4, 1, true}, {4, 1, 2, false}, {5, 2, 2, false}, {6, 3, 2, false}, {7, 4, 2, true},
 		}},
