hsquorum: remember a bounded number of unanswered rounds

The latest 256 are kept. A reply to an earlier one changes nothing but the time of the last answer, which a later reply gives as well.

--- a/core/command/hsquorum/leader.go
+++ b/core/command/hsquorum/leader.go
@@ -36,6 +36,10 @@
 	sentAt time.Time
 }
 
+// maxUnanswered is the number of unanswered rounds of a replica that are remembered. A reply to an earlier one says nothing about
+// the present.
+const maxUnanswered = 256
+
 // becomeLeader appends an empty entry of the new term and sends it to all members with the first heartbeat.
 func (r *Replica) becomeLeader() {
 	now := r.ports.Clock.Now()
@@ -122,6 +126,9 @@
 // nextRound returns the number of the next request to a replica, and records when it is sent.
 func (r *Replica) nextRound(p *progress) hsid.Sequence {
 	r.lastRound++
+	if len(p.unanswered) == maxUnanswered {
+		p.unanswered = slices.Delete(p.unanswered, 0, 1)
+	}
 	p.unanswered = append(p.unanswered, sentRound{round: r.lastRound, sentAt: r.ports.Clock.Now()})
 	return r.lastRound
 }
--- a/core/command/hsquorum/scenario_test.go
+++ b/core/command/hsquorum/scenario_test.go
@@ -371,3 +371,21 @@
 		}
 	}
 }
+
+// TestSilentReplica checks that what a leader remembers of a replica that never answers is bounded, and that the replica
+// catches up when it returns. Guards against memory that grows with each heartbeat.
+func TestSilentReplica(t *testing.T) {
+	const maxRounds = 1000
+	c := newCluster(t, 4, 3, 0, hsquorum.Config{})
+	l := waitForLeader(t, c)
+	silent := anyFollower(c, l)
+	c.isolate(silent.id)
+	for range 40 {
+		c.propose()
+		c.runTicks(250, tick)
+	}
+	if got := l.replica.Unanswered(silent.id); got > maxRounds {
+		t.Errorf("got %d rounds remembered, want at most %d", got, maxRounds)
+	}
+	c.healAndCheck()
+}
