play: a message that can't be decoded ends the run again

Before, a message that couldn't be decoded ended the run, in every test that encodes messages; that check was lost outside of size_test.go.

It is back: a decoding error panics, and so does a message above a limit, unless a world asks for these to be dropped, as the tests of such messages do.

--- a/internal/play/world.go
+++ b/internal/play/world.go
@@ -52,6 +52,8 @@
 	Drift float64
 	// EncodeMessages encodes and decodes every message, as on a link.
 	EncodeMessages bool
+	// DropOversize drops the encoded messages that exceed a limit of the links, as a link does. Otherwise one ends the run.
+	DropOversize bool
 }
 
 // event is an action at a simulated time; the sequence orders events of the same time.
@@ -109,7 +111,7 @@
 	Bytes map[hsstate.Peer]int
 	// Messages counts the messages sent, including those that are lost.
 	Messages int
-	// Oversize counts the messages that were dropped because they exceed a limit of the links, if EncodeMessages is set.
+	// Oversize counts the messages that were dropped because they exceed a limit of the links, if DropOversize is set.
 	Oversize int
 }
 
@@ -272,20 +274,26 @@
 }
 
 // roundTrip encodes and decodes a message, and counts its bytes. It reports false for a message that a link wouldn't
-// deliver.
+// deliver, and panics instead unless Config.DropOversize is set.
 func (w *World) roundTrip(from, to hsstate.Peer, m hsmessage.Message) (hsmessage.Message, bool) {
 	data, err := hscodec.EncodeMessage(m)
 	if err != nil {
 		panic(err)
 	}
-	decoded, err := hscodec.DecodeMessage(data)
-	if hsid.Bytes(len(data)) > hslink.MaxFrame || err != nil {
+	if hsid.Bytes(len(data)) > hslink.MaxFrame || hscodec.CheckMessage(data) != nil {
+		if !w.config.DropOversize {
+			panic(fmt.Sprintf("play: %T of %d bytes exceeds a limit of the links", m, len(data)))
+		}
 		w.Oversize++
 		return nil, false
 	}
 	w.Bytes[from] += len(data)
 	w.Bytes[to] += len(data)
-	return decoded, true
+	m, err = hscodec.DecodeMessage(data)
+	if err != nil {
+		panic(err)
+	}
+	return m, true
 }
 
 func (w *World) deliver(from, to hsstate.Peer, m hsmessage.Message) {
--- a/test/whole/size_test.go
+++ b/test/whole/size_test.go
@@ -40,6 +40,7 @@
 		Control:        hscontrol.Config{Quorum: config, ReplaceAfter: 1500 * time.Millisecond},
 		Interval:       500 * time.Millisecond,
 		EncodeMessages: true,
+		DropOversize:   true,
 	})
 }
 
