--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -42,6 +42,26 @@
 	// OffRackSlowdown is how many times as long a task takes off the rack that it needs, or spread over several
 	// racks.
 	OffRackSlowdown float64
+	// Features selects the optional parts; all are off by default.
+	Features Features
+}
+
+// Features selects the optional parts of the scheduler. A part that is off has no effect on any decision.
+type Features struct {
+	// Speeds learns the speeds of the workers and places by them.
+	Speeds bool
+	// Stragglers restarts units that miss their objective because of a slow worker.
+	Stragglers bool
+	// Trust gives work step by step to workers that failed lately.
+	Trust bool
+	// Shares divides unguaranteed capacity fairly between workspaces and zones.
+	Shares bool
+	// Admission refuses jobs that can't be served.
+	Admission bool
+	// UrgentHeadroom keeps capacity free for urgent units where it takes long to stop a run.
+	UrgentHeadroom bool
+	// Costs orders units, victims and refusals by what a delay costs callers.
+	Costs bool
 }
 
 // WithDefaults returns the configuration with each zero value replaced by its default.
@@ -77,6 +97,17 @@
 	Clock() time.Duration
 }
 
+// Speeds estimates the speeds of workers.
+type Speeds interface {
+	// Estimate returns the estimate for a worker. It has the variance of the prior for an unknown one.
+	Estimate(worker hsid.InstanceID) hswork.SpeedEstimate
+}
+
+// evenSpeeds is the Speeds of a fleet whose workers are taken to be equally fast.
+type evenSpeeds struct{}
+
+func (evenSpeeds) Estimate(hsid.InstanceID) hswork.SpeedEstimate { return hswork.SpeedEstimate{} }
+
 // Observer receives decisions for logs and metrics. Its methods must not block.
 type Observer interface {
 	// Placed reports a proposed start, and how long its tasks were ready before.
@@ -144,6 +175,7 @@
 	// load is that of the same workers, as of the last pass.
 	load load
 
+	speeds   Speeds
 	permits  map[StepID]*stepPermits
 	restarts map[hswork.TaskID]restart
 	// drainingUntil is until when an endpoint gets no new runs, for the upkeep of its machine.
@@ -177,6 +209,7 @@
 		startedJobs:    map[hswork.ID]bool{},
 		progress:       map[hswork.RunID]progress{},
 		failedOn:       map[StepID]map[hsid.InstanceID]bool{},
+		speeds:         evenSpeeds{},
 		permits:        map[StepID]*stepPermits{},
 		restarts:       map[hswork.TaskID]restart{},
 		drainingUntil:  map[hswork.EndpointID]time.Time{},
--- a/io/hsapp/role.go
+++ b/io/hsapp/role.go
@@ -197,7 +197,7 @@
 		PreemptionCoolDown: time.Duration(c.PreemptionCoolDown),
 		Replicas:           c.Replicas,
 		Maintenance:        hsmaintenance.Config{Holder: s.Instance, Lease: time.Duration(s.Work.HolderLease), Upkeep: time.Duration(s.Work.Upkeep)},
-		Work:               hsdispatch.Config{Lease: s.Work.Lease(), StopTimeout: time.Duration(s.Work.StopTimeout), OffRackSlowdown: s.Work.OffRackSlowdown},
+		Work:               workConfig(&s.Work),
 
 		FormationTimeout: time.Duration(c.FormationTimeout),
 		Zones:            c.Zones,
@@ -205,6 +205,23 @@
 	}
 }
 
+func workConfig(w *hssettings.Work) hsdispatch.Config {
+	return hsdispatch.Config{
+		Lease:           w.Lease(),
+		StopTimeout:     time.Duration(w.StopTimeout),
+		OffRackSlowdown: w.OffRackSlowdown,
+		Features: hsdispatch.Features{
+			Speeds:         w.Speeds,
+			Stragglers:     w.Stragglers,
+			Trust:          w.Trust,
+			Shares:         w.Shares,
+			Admission:      w.Admission,
+			UrgentHeadroom: w.UrgentHeadroom,
+			Costs:          w.Costs,
+		},
+	}
+}
+
 func weightOrDefault(w *float64) float64 {
 	if w == nil {
 		return hssettings.DefaultWeight
--- a/io/hssettings/settings.go
+++ b/io/hssettings/settings.go
@@ -125,6 +125,14 @@
 	// for maintenance.
 	HolderLease Duration `toml:"holderLease"`
 	Upkeep      Duration `toml:"upkeep"`
+	// The optional parts of the scheduler; see hsdispatch.Features. All replicas use the same.
+	Speeds         bool `toml:"speeds"`
+	Stragglers     bool `toml:"stragglers"`
+	Trust          bool `toml:"trust"`
+	Shares         bool `toml:"shares"`
+	Admission      bool `toml:"admission"`
+	UrgentHeadroom bool `toml:"urgentRoom"`
+	Costs          bool `toml:"costs"`
 }
 
 // leasePercent is the run lease as a percentage of MaxLease. The remainder allows for clock drift and network delay.
