hswork, hslifecycle, hscodec: speeds of workers in the replicated state

The speeds that a leader learns were lost with it.

The new fields are optional trailing ones: an encoder leaves them out while they are zero, and a decoder accepts their absence.

--- a/core/command/hslifecycle/apply.go
+++ b/core/command/hslifecycle/apply.go
@@ -59,6 +59,8 @@
 		recordUpkeep(s, c.Upkeep)
 	case c.Zone != nil:
 		evacuate(s, c.Zone, clock)
+	case c.Speeds != nil:
+		recordSpeeds(s, c.Speeds, clock)
 	}
 	pruneEndedJobs(s, clock)
 }
--- a/core/hswork/state.go
+++ b/core/hswork/state.go
@@ -21,10 +21,14 @@
 	RunTimes map[QueueName]*RunTimeStats
 	// EvacuatedZones lists the availability zones on whose workers nothing is started, by name.
 	EvacuatedZones []EvacuatedZone
+	// Speeds holds the speeds of workers as they were last committed; at most MaxSpeeds.
+	Speeds map[hsid.InstanceID]WorkerSpeed
 }
 
 // NewState returns an empty state.
-func NewState() *State { return &State{Jobs: map[ID]*Job{}, RunTimes: map[QueueName]*RunTimeStats{}} }
+func NewState() *State {
+	return &State{Jobs: map[ID]*Job{}, RunTimes: map[QueueName]*RunTimeStats{}, Speeds: map[hsid.InstanceID]WorkerSpeed{}}
+}
 
 // OpenJobs returns the open jobs in the order in which they were accepted.
 func (s *State) OpenJobs() []*Job {
@@ -51,6 +55,8 @@
 	Upkeep   *UpkeepProgress
 	// Zone evacuates an availability zone or restores it.
 	Zone *ZoneEvacuation
+	// Speeds records the speeds of workers.
+	Speeds *SpeedUpdate
 }
 
 // Submit adds an accepted job, with the settings of its queue.
@@ -84,7 +90,8 @@
 	Run        RunID
 	Kind       EndKind
 	Checkpoint Checkpoint
-	// Took is the run time of a run that is done; 0 when it wasn't observed.
+	// Took is the run time of a run that is done; 0 when it wasn't observed. Where speeds are learned, it is that on an average
+	// worker.
 	Took time.Duration
 }
 
--- a/io/hscodec/codec.go
+++ b/io/hscodec/codec.go
@@ -1,8 +1,9 @@
 // Package hscodec encodes and decodes messages, states and records as MessagePack.
 //
 // Structs are encoded as arrays in the order of their fields. A reader refuses an array of another length, so no field may be
-// added, removed or moved in what is stored or sent between processes of different builds. Every message starts with a byte
-// that identifies its type.
+// removed or moved in what is stored or sent between processes of different builds. A field may be added only as an optional one
+// at the end, see optionalTypes: it is left out while it is zero, so that builds without it read the rest. Every message starts
+// with a byte that identifies its type.
 //
 // All functions are safe for concurrent use.
 //
@@ -204,5 +205,8 @@
 	if s.Work.RunTimes == nil {
 		s.Work.RunTimes = empty.Work.RunTimes
 	}
+	if s.Work.Speeds == nil {
+		s.Work.Speeds = empty.Work.Speeds
+	}
 	return s, nil
 }
--- /dev/null
+++ b/io/hscodec/optional.go
@@ -0,0 +1,83 @@
+package hscodec
+
+import (
+	"fmt"
+	"reflect"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"hyssopseam/core/hswork"
+)
+
+// optionalFields is a struct whose last fields are optional.
+type optionalFields struct {
+	typeOf reflect.Type
+	// required is the number of fields that are always encoded: those of the builds before the first optional one.
+	required int
+}
+
+// withOptional describes a struct that has optional fields after the given number of required ones. That number must never
+// change.
+func withOptional[T any](required int) optionalFields {
+	return optionalFields{typeOf: reflect.TypeFor[T](), required: required}
+}
+
+// optionalTypes lists the structs with optional trailing fields. A new field goes at the end of its struct, which is added
+// here with the number of fields that it had before.
+var optionalTypes = []optionalFields{
+	withOptional[hswork.State](6),
+	withOptional[hswork.Command](9),
+}
+
+func init() {
+	for _, o := range optionalTypes {
+		msgpack.Register(reflect.Zero(o.typeOf).Interface(), o.encode, o.decode)
+	}
+}
+
+// encode writes the fields up to the last one that isn't zero, and at least the required ones.
+func (o optionalFields) encode(e *msgpack.Encoder, v reflect.Value) error {
+	count := v.NumField()
+	for count > o.required && isAbsent(v.Field(count-1)) {
+		count--
+	}
+	if err := e.EncodeArrayLen(count); err != nil {
+		return fmt.Errorf("hscodec: %w", err)
+	}
+	for i := range count {
+		if err := e.EncodeValue(v.Field(i)); err != nil {
+			return fmt.Errorf("hscodec: encode field %d of %s: %w", i, o.typeOf, err)
+		}
+	}
+	return nil
+}
+
+// decode reads a struct without some or all of its optional fields, which become zero.
+func (o optionalFields) decode(d *msgpack.Decoder, v reflect.Value) error {
+	count, err := d.DecodeArrayLen()
+	if err != nil {
+		return fmt.Errorf("hscodec: decode %s: %w", o.typeOf, err)
+	}
+	v.SetZero()
+	if count <= 0 {
+		return nil // nil, which stands for the zero value.
+	}
+	if count < o.required || count > v.NumField() {
+		return fmt.Errorf("hscodec: %s has %d fields, want %d to %d", o.typeOf, count, o.required, v.NumField())
+	}
+	for i := range count {
+		if err := d.DecodeValue(v.Field(i)); err != nil {
+			return fmt.Errorf("hscodec: decode field %d of %s: %w", i, o.typeOf, err)
+		}
+	}
+	return nil
+}
+
+// isAbsent reports whether an optional field is left out: it is zero, or an empty map or slice.
+func isAbsent(v reflect.Value) bool {
+	switch v.Kind() {
+	case reflect.Map, reflect.Slice:
+		return v.Len() == 0
+	}
+	return v.IsZero()
+}
