hsdispatch, hsdecision: learn the speeds of workers

With work.speeds, the dispatcher feeds its tracker with the progress and the ends that it sees anyway, proposes the estimates that have changed in at most one command a second, and begins with the committed ones after a change of leader. Placement doesn't use them yet. Runs that are throttled, have no end or are off the rack of their data aren't observed.

Run time statistics get the time that a run would have taken on an average worker: its run time divided by the slowdown of its worker, or for a gang by that of the slowest member. A mixture of both kinds of worker was wrong on each of them.

A change of the class of a worker (unknown, normal, fast, slow) is logged with its evidence and counted in work_speed_changes_total.

--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hyssopseam/core/command/hslease"
+	"hyssopseam/core/command/hsspeed"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
@@ -99,7 +100,8 @@
 
 // Speeds estimates the speeds of workers.
 type Speeds interface {
-	// Estimate returns the estimate for a worker. It has the variance of the prior for an unknown one.
+	// Estimate returns the estimate for a worker. It is the zero value while the observations don't show that workers differ;
+	// after that, it has the variance of the prior for an unknown one.
 	Estimate(worker hsid.InstanceID) hswork.SpeedEstimate
 }
 
@@ -119,6 +121,8 @@
 	// WorkerChanged reports that a worker announced another incarnation of its endpoint, or that usable changed:
 	// whether it accepts new runs.
 	WorkerChanged(id hsid.InstanceID, endpoint hsmessage.Endpoint, usable bool)
+	// SpeedChanged reports that a worker is in another class of speed.
+	SpeedChanged(c hsspeed.ClassChange)
 }
 
 // Ports are the interfaces that a dispatcher calls.
@@ -175,7 +179,10 @@
 	// load is that of the same workers, as of the last pass.
 	load load
 
-	speeds   Speeds
+	speeds Speeds
+	// tracker is what speeds reads if speeds are learned; nil otherwise.
+	tracker *hsspeed.Tracker
+
 	permits  map[StepID]*stepPermits
 	restarts map[hswork.TaskID]restart
 	// drainingUntil is until when an endpoint gets no new runs, for the upkeep of its machine.
@@ -190,7 +197,7 @@
 
 // New returns the dispatcher for a leadership that begins now, in the given term.
 func New(c Config, p Ports, s *hswork.State, term hsid.Term) *Dispatcher {
-	return &Dispatcher{
+	d := &Dispatcher{
 		config:         c.WithDefaults(),
 		ports:          p,
 		state:          s,
@@ -215,6 +222,8 @@
 		drainingUntil:  map[hswork.EndpointID]time.Time{},
 		passDue:        true,
 	}
+	d.startTracker()
+	return d
 }
 
 // HasStarted reports whether a task of a job was reported as running during this leadership.
@@ -237,6 +246,8 @@
 		d.appliedEnds(c.End)
 	case c.Cancel != nil:
 		d.requestPlansForJob(c.Cancel.ID)
+	case c.Speeds != nil:
+		d.speedsCommitted(c.Speeds)
 	}
 }
 
@@ -245,6 +256,7 @@
 	for i := range c.Ends {
 		run := c.Ends[i].Run
 		d.scheduleRestart(run, d.ports.Clock.Now())
+		d.speedRunEnded(run)
 		delete(d.proposedEnds, run)
 		delete(d.stopping, run)
 		delete(d.runningSince, run)
@@ -297,6 +309,7 @@
 func (d *Dispatcher) pass() {
 	d.passDue = false
 	d.lastPass = d.ports.Clock.Now()
+	d.updateSpeeds(d.lastPass)
 	d.endLostRuns(d.lastPass)
 	d.relocateRuns(d.lastPass)
 	d.stopUnstarted()
--- a/core/command/hsdispatch/estimate.go
+++ b/core/command/hsdispatch/estimate.go
@@ -23,14 +23,14 @@
 	return d.state.RunTimes[j.Queue].Estimate(s.Estimate)
 }
 
-// runTime returns how long a completed run took. It returns 0 for a run that wasn't completed, or that this leader
-// never saw running.
+// runTime returns how long a completed run took, on an average worker if speeds are learned. It returns 0 for a run that
+// wasn't completed, or that this leader never saw running.
 func (d *Dispatcher) runTime(e hsmessage.EndedTask, now time.Time) time.Duration {
 	began, ok := d.runningSince[e.Run]
 	if !ok || e.Kind != hswork.EndDone {
 		return 0
 	}
-	return now.Sub(began)
+	return d.workOf(e.Run, now.Sub(began))
 }
 
 // remainingTime estimates when a run ends, as a duration from now. It extrapolates from the observed progress, or
--- a/core/command/hsdispatch/export_test.go
+++ b/core/command/hsdispatch/export_test.go
@@ -5,11 +5,15 @@
 	"reflect"
 
 	"hyssopseam/core/hsid"
+	"hyssopseam/core/hswork"
 )
 
 // Failures returns the number of failures that count against a worker.
 func (d *Dispatcher) Failures(id hsid.InstanceID) int { return d.workers[id].health.failures }
 
+// Speed returns the estimate of the speed of a worker.
+func (d *Dispatcher) Speed(id hsid.InstanceID) hswork.SpeedEstimate { return d.speeds.Estimate(id) }
+
 // CheckPlaced compares the index of placed runs with one that is built from the state.
 func (d *Dispatcher) CheckPlaced() error {
 	want := newPlacedIndex(d.state)
--- a/core/command/hsdispatch/harness_test.go
+++ b/core/command/hsdispatch/harness_test.go
@@ -8,6 +8,7 @@
 
 	"hyssopseam/core/command/hsdispatch"
 	"hyssopseam/core/command/hslifecycle"
+	"hyssopseam/core/command/hsspeed"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
@@ -29,6 +30,8 @@
 	reports map[hsid.InstanceID]*hsmessage.RunnerReport
 	// adviser is the adviser of the next leadership; it may be nil.
 	adviser hsdispatch.Adviser
+	// features are the optional parts of the next leadership.
+	features hsdispatch.Features
 }
 
 func (h *harness) Now() time.Time {
@@ -53,6 +56,7 @@
 func (h *harness) RunEnded(*hswork.End, hsid.InstanceID)                   {}
 func (h *harness) Stopping(s hsdispatch.Stop)                              { h.stops = append(h.stops, s) }
 func (h *harness) WorkerChanged(hsid.InstanceID, hsmessage.Endpoint, bool) {}
+func (h *harness) SpeedChanged(hsspeed.ClassChange)                        {}
 
 const (
 	lease = 8 * time.Second
@@ -85,7 +89,7 @@
 
 // startLeadership replaces the dispatcher by that of a new leadership. Proposals that aren't applied are lost.
 func (h *harness) startLeadership(term hsid.Term) {
-	c := hsdispatch.Config{Lease: lease, StopTimeout: 400 * time.Millisecond}
+	c := hsdispatch.Config{Lease: lease, StopTimeout: 400 * time.Millisecond, Features: h.features}
 	h.proposed = nil
 	h.dispatcher = hsdispatch.New(c, hsdispatch.Ports{Clock: h, Sender: h, Log: h, Observer: h, Adviser: h.adviser}, h.state, term)
 }
--- a/core/command/hsdispatch/stall.go
+++ b/core/command/hsdispatch/stall.go
@@ -43,6 +43,7 @@
 		}
 		if !ok || p.percent != r.Percent {
 			p.percent, p.changedAt = r.Percent, now
+			d.observeProgress(report, r, now)
 		}
 		p.checkpoint = r.Checkpoint
 		d.progress[r.Run] = p
--- a/core/command/hsdispatch/worker.go
+++ b/core/command/hsdispatch/worker.go
@@ -73,6 +73,7 @@
 			d.runningSince[r.Run] = w.lastHeard
 		}
 	}
+	d.speedWorkerSeen(w)
 	d.trackProgress(&report, w.lastHeard)
 	d.proposeReportedEnds(w)
 	d.epochs[w.id] = max(d.epochs[w.id], report.MinFence.EpochIn(d.term))
--- a/internal/play/control.go
+++ b/internal/play/control.go
@@ -6,6 +6,7 @@
 	"hyssopseam/core/command/hscontrol"
 	"hyssopseam/core/command/hsdispatch"
 	"hyssopseam/core/command/hsquorum"
+	"hyssopseam/core/command/hsspeed"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
@@ -197,3 +198,6 @@
 
 // WorkerChanged does nothing.
 func (noopObserver) WorkerChanged(hsid.InstanceID, hsmessage.Endpoint, bool) {}
+
+// SpeedChanged does nothing.
+func (noopObserver) SpeedChanged(hsspeed.ClassChange) {}
--- a/io/hsdecision/recorder.go
+++ b/io/hsdecision/recorder.go
@@ -13,6 +13,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
 	"strings"
 	"time"
 
@@ -20,6 +21,7 @@
 
 	"hyssopseam/core/command/hsdispatch"
 	"hyssopseam/core/command/hsrunner"
+	"hyssopseam/core/command/hsspeed"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hswork"
@@ -34,6 +36,7 @@
 	preempted     prometheus.Counter
 	stopped       *prometheus.CounterVec
 	endpointCalls *prometheus.CounterVec
+	speedChanges  *prometheus.CounterVec
 }
 
 // New returns a recorder and registers its metrics.
@@ -51,8 +54,9 @@
 		preempted:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: "hyssopseam", Name: "work_preempted_total", Help: "Runs preempted by other jobs."}),
 		stopped:       counter("work_runs_stopped_total", "Runs that the leader decided to stop, by reason.", "reason"),
 		endpointCalls: counter("work_endpoint_calls_total", "Calls to the endpoint, by kind and verdict.", "kind", "verdict"),
+		speedChanges:  counter("work_speed_changes_total", "Changes of the class of speed of workers, by the new class.", "speed"),
 	}
-	r.MustRegister(rc.requests, rc.startWaits, rc.runsEnded, rc.preempted, rc.stopped, rc.endpointCalls)
+	r.MustRegister(rc.requests, rc.startWaits, rc.runsEnded, rc.preempted, rc.stopped, rc.endpointCalls, rc.speedChanges)
 	return rc
 }
 
@@ -135,6 +139,13 @@
 	rc.log.Info("worker changed", "worker", id, "endpoint", e.ID, "life", e.Incarnation, "leaving", e.Leaving, "usable", usable)
 }
 
+// SpeedChanged records that a worker is in another class of speed, with the evidence.
+func (rc *Recorder) SpeedChanged(c hsspeed.ClassChange) {
+	rc.speedChanges.WithLabelValues(c.To.String()).Inc()
+	rc.log.Info("worker speed changed", "worker", c.Worker, "from", c.From.String(), "to", c.To.String(), "readings", c.Runs,
+		"slowdown", float64(c.Estimate.Slowdown), "deviation", math.Sqrt(c.Estimate.Variance), "recent", c.Recent)
+}
+
 // EndpointChanged records an announcement from the endpoint.
 func (rc *Recorder) EndpointChanged(a hsrunner.Announcement) {
 	e := a.Endpoint
