--- a/core/command/hscontrol/work.go
+++ b/core/command/hscontrol/work.go
@@ -8,6 +8,7 @@
 	"hyssopseam/core/command/hscatalog"
 	"hyssopseam/core/command/hsdispatch"
 	"hyssopseam/core/command/hsquorum"
+	"hyssopseam/core/command/hsspeed"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
 	"hyssopseam/core/hswork"
@@ -52,6 +53,14 @@
 	c.leader.dispatcher.Receive(from, report)
 }
 
+// WorkersBySpeed returns the number of workers of each class of speed; zero while this replica doesn't lead.
+func (c *Control) WorkersBySpeed() hsspeed.Counts {
+	if !c.Leading() {
+		return hsspeed.Counts{}
+	}
+	return c.leader.dispatcher.WorkersBySpeed()
+}
+
 // HandleAdvice delivers the policy service's answer about a step. It is ignored while this replica doesn't lead.
 func (c *Control) HandleAdvice(a hsdispatch.Advice) {
 	if c.Leading() {
--- a/core/command/hsspeed/class.go
+++ b/core/command/hsspeed/class.go
@@ -24,6 +24,9 @@
 // String returns the name of the class, as it is in logs and metrics.
 func (c Class) String() string { return classNames[c] }
 
+// Classes returns all classes.
+func Classes() []Class { return []Class{Unknown, Normal, Fast, Slow} }
+
 // Counts is the number of workers of each class.
 type Counts [classCount]int
 
--- a/core/hsview/dump.go
+++ b/core/hsview/dump.go
@@ -1,6 +1,10 @@
 package hsview
 
-import "hyssopseam/core/hsid"
+import (
+	"time"
+
+	"hyssopseam/core/hsid"
+)
 
 // Dump is the internal state of one process, for debugging. The roles that the process doesn't have are nil.
 type Dump struct {
@@ -33,6 +37,23 @@
 	// Answers is the total size of the retained answers.
 	Answers hsid.Bytes
 	Homes   int
+	// Speeds lists the speeds of workers that were committed, by worker.
+	Speeds []SpeedDump
+}
+
+// SpeedDump is the committed speed of a worker.
+type SpeedDump struct {
+	Worker hsid.InstanceID
+	// Endpoint is the incarnation of its endpoint.
+	Endpoint uint64
+	// Slowdown is the natural logarithm of how much longer than the average worker it takes, and Deviation its standard
+	// deviation.
+	Slowdown  float64
+	Deviation float64
+	// Runs counts the runs observed.
+	Runs int
+	// Age is the time since the last update.
+	Age time.Duration
 }
 
 // JobDump is one job that hasn't finished.
--- a/core/query/hsdump/dump.go
+++ b/core/query/hsdump/dump.go
@@ -10,6 +10,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 
 	"hyssopseam/core/hsid"
@@ -61,6 +63,12 @@
 		}
 	}
 	slices.SortFunc(d.Jobs, func(a, b hsview.JobDump) int { return cmp.Compare(a.ID, b.ID) })
+	for _, id := range slices.Sorted(maps.Keys(s.Work.Speeds)) {
+		w := s.Work.Speeds[id]
+		d.Speeds = append(d.Speeds, hsview.SpeedDump{
+			Worker: id, Endpoint: uint64(w.Incarnation), Slowdown: float64(w.Slowdown), Deviation: math.Sqrt(w.Variance), Runs: w.Runs, Age: s.Clock - w.Updated,
+		})
+	}
 	return d
 }
 
--- a/io/hsapp/app.go
+++ b/io/hsapp/app.go
@@ -27,6 +27,7 @@
 	"hyssopseam/core/command/hsentry"
 	"hyssopseam/core/command/hsmaintenance"
 	"hyssopseam/core/command/hsrunner"
+	"hyssopseam/core/command/hsspeed"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/io/hslog"
 	"hyssopseam/io/hsprocess"
@@ -131,6 +132,10 @@
 	m.Gauge("log_entries", "Control log entries since the last compaction.", fromSnapshot(func(s *hsprocess.Snapshot) float64 { return float64(s.LogLength) }))
 	m.Gauge("pending_requests", "Requests waiting for a reply from the control role.", fromSnapshot(func(s *hsprocess.Snapshot) float64 { return float64(s.Pending) }))
 	m.Gauge("agent_tasks", "Grants that the agent holds.", fromSnapshot(func(s *hsprocess.Snapshot) float64 { return float64(s.AgentTasks) }))
+	for _, class := range hsspeed.Classes() {
+		m.LabeledGauge("work_workers", "Workers by class of speed; 0 on replicas that don't lead and while speeds aren't learned.", "speed", class.String(),
+			fromSnapshot(func(s *hsprocess.Snapshot) float64 { return float64(s.WorkersBySpeed[class]) }))
+	}
 	m.Gauge("inbox_length", "Inputs queued for the control goroutine.", func() float64 { return float64(p.Backlog()) })
 	m.Counter("stray_answers_total", "Replies received for which no request was pending.", fromSnapshot(func(s *hsprocess.Snapshot) float64 { return float64(s.StrayReplies) }))
 	m.Counter("control_busy_seconds_total", "Time that the control goroutine spent processing inputs.", func() float64 { return p.BusyTime().Seconds() })
--- a/io/hsmetric/metric.go
+++ b/io/hsmetric/metric.go
@@ -65,6 +65,12 @@
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
 }
 
+// LabeledGauge is Gauge with one label. A name may be registered with several values of the label.
+func (m *Metrics) LabeledGauge(name, help, label, value string, read func() float64) {
+	o := prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help, ConstLabels: prometheus.Labels{label: value}}
+	m.registry.MustRegister(prometheus.NewGaugeFunc(o, read))
+}
+
 // Counter registers a counter whose value is read when it is collected.
 func (m *Metrics) Counter(name, help string, read func() float64) {
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, read))
--- a/io/hsprocess/process.go
+++ b/io/hsprocess/process.go
@@ -24,6 +24,7 @@
 	"hyssopseam/core/command/hscontrol"
 	"hyssopseam/core/command/hsentry"
 	"hyssopseam/core/command/hsrunner"
+	"hyssopseam/core/command/hsspeed"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
@@ -63,6 +64,8 @@
 	Runs          int
 	Draining      bool
 	Batches       uint64
+	// WorkersBySpeed counts the workers by class of speed while the control replica leads and learns speeds.
+	WorkersBySpeed hsspeed.Counts
 }
 
 // Process runs the roles of one process. Roles that it doesn't hold are nil.
@@ -253,6 +256,7 @@
 		s.Members = len(r.Members())
 		s.Rules = p.control.State().Rules.InForce.Number
 		s.HasRulesLease = s.Leader != ""
+		s.WorkersBySpeed = p.control.WorkersBySpeed()
 	}
 	if p.entry != nil {
 		s.Rules, s.HasRulesLease = p.entry.Rules()
