play, test/whole: uneven workers, and speeds that survive failures of control replicas

Endpoints of the simulation take a slowdown and then list the true progress. The fuzzer of step jobs learns speeds of uneven workers in half of its runs.

--- a/internal/play/control.go
+++ b/internal/play/control.go
@@ -54,6 +54,9 @@
 	return n
 }
 
+// Reconfigure replaces the configuration of the control replicas. It takes effect when they start the next time.
+func (w *World) Reconfigure(c hscontrol.Config) { w.config.Control = c }
+
 // Role returns the running role; nil while the node is down.
 func (n *Control) Role() *hscontrol.Control { return n.control }
 
--- a/internal/play/endpoint.go
+++ b/internal/play/endpoint.go
@@ -63,6 +63,9 @@
 	Leaving bool
 	// DelayedShare is the share of start and stop calls that get no answer and are executed 2 to 12 s later.
 	DelayedShare float64
+	// Slowdown is how many times as long as the plan says its tasks take; a gang takes as long as its slowest member. If it is
+	// set, the endpoint lists the true progress.
+	Slowdown float64
 
 	running    map[hswork.RunID]*WorkRun
 	endedTasks []hsmessage.EndedTask
@@ -237,12 +240,16 @@
 		kind = hswork.EndFailed
 	}
 	if plan.Gang == 0 {
-		e.w.Schedule(e.w.now+plan.Duration, func() { e.finish(r, kind) })
+		e.w.Schedule(e.w.now+e.slowed(plan.Duration), func() { e.finish(r, kind) })
 		return
 	}
 	members := e.w.runningGang(r)
 	if len(members) == plan.Gang {
-		e.w.Schedule(e.w.now+plan.Duration, func() { e.finish(r, kind) })
+		var takes time.Duration
+		for _, m := range members {
+			takes = max(takes, e.w.runnerOf(m.Worker).Endpoint.slowed(plan.Duration))
+		}
+		e.w.Schedule(e.w.now+takes, func() { e.finish(r, kind) })
 		return
 	}
 	e.w.Schedule(e.w.now+gangTimeout, func() {
@@ -252,6 +259,31 @@
 	})
 }
 
+// slowed returns how long a task takes here.
+func (e *Endpoint) slowed(d time.Duration) time.Duration {
+	if e.Slowdown == 0 {
+		return d
+	}
+	return time.Duration(float64(d) * e.Slowdown)
+}
+
+// progress returns the true progress of a run. A member of a gang makes progress from the start of the last member on, and then
+// waits for slower ones.
+func (e *Endpoint) progress(r *WorkRun) hswork.Percent {
+	plan := e.w.Work(r.Run.Task)
+	began := r.Began
+	if plan.Gang > 0 {
+		members := e.w.runningGang(r)
+		if len(members) < plan.Gang {
+			return 0
+		}
+		for _, m := range members {
+			began = max(began, m.Began)
+		}
+	}
+	return hswork.Percent(min(100*(e.w.now-began)/max(e.slowed(plan.Duration), 1), 99))
+}
+
 // runningGang returns the running members of a run's gang on all endpoints.
 func (w *World) runningGang(r *WorkRun) []*WorkRun {
 	var members []*WorkRun
--- a/internal/play/hold.go
+++ b/internal/play/hold.go
@@ -105,6 +105,9 @@
 	for _, x := range e.sortedRuns() {
 		// Progress grows by 1 % every 100 ms and starts again at 0, so that successive listings differ.
 		percent := hswork.Percent((e.w.now - x.Began).Milliseconds() / 100 % 100)
+		if e.Slowdown > 0 {
+			percent = e.progress(x)
+		}
 		r.Running = append(r.Running, hsmessage.RunningTask{Run: x.Run, Percent: percent})
 	}
 	return r
--- a/test/whole/work_test.go
+++ b/test/whole/work_test.go
@@ -47,8 +47,9 @@
 )
 
 func newWorkHarness(t *rapid.T, controls, workers int) *workHarness {
+	features := hsdispatch.Features{Speeds: rapid.Bool().Draw(t, "speeds")}
 	control := hscontrol.Config{
-		Work:         hsdispatch.Config{Lease: 8 * time.Second, StopTimeout: 400 * time.Millisecond},
+		Work:         hsdispatch.Config{Lease: 8 * time.Second, StopTimeout: 400 * time.Millisecond, Features: features},
 		ReplaceAfter: 1500 * time.Millisecond,
 	}
 	control.Quorum.SnapshotEntries = 50
@@ -79,6 +80,7 @@
 			Capacity: hswork.Resources{Cores: 8000, Memory: 8 * hsid.GiB, Accelerators: 8},
 		})
 		r.Endpoint.DelayedShare = delayedShare
+		r.Endpoint.Slowdown = rapid.SampledFrom([]float64{0, 1, 2.4}).Draw(t, "slowdown")
 	}
 	w.Run(5 * time.Second)
 	h.putCatalog()
