--- a/core/command/hslifecycle/apply.go
+++ b/core/command/hslifecycle/apply.go
@@ -39,6 +39,8 @@
 		}
 	case c.Submit != nil:
 		submit(s, c.Submit, index, clock)
+		// No speeds are recorded any more once they aren't learned.
+		dropOldSpeeds(s, clock)
 	case c.Start != nil:
 		start(s, c.Start)
 	case c.End != nil:
--- a/core/command/hslifecycle/speed.go
+++ b/core/command/hslifecycle/speed.go
@@ -10,8 +10,12 @@
 	"hyssopseam/core/hswork"
 )
 
-// recordSpeeds replaces the speeds of some workers, and drops those that weren't updated for hswork.SpeedRetention, and the
-// oldest ones above hswork.MaxSpeeds.
+// dropOldSpeeds drops the speeds that weren't updated for hswork.SpeedRetention.
+func dropOldSpeeds(s *hswork.State, clock time.Duration) {
+	maps.DeleteFunc(s.Speeds, func(_ hsid.InstanceID, w hswork.WorkerSpeed) bool { return clock-w.Updated > hswork.SpeedRetention })
+}
+
+// recordSpeeds replaces the speeds of some workers, and drops old ones and the oldest ones above hswork.MaxSpeeds.
 func recordSpeeds(s *hswork.State, c *hswork.SpeedUpdate, clock time.Duration) {
 	if s.Speeds == nil {
 		s.Speeds = map[hsid.InstanceID]hswork.WorkerSpeed{}
@@ -21,7 +25,7 @@
 		w.Updated = clock
 		s.Speeds[w.Worker] = w
 	}
-	maps.DeleteFunc(s.Speeds, func(_ hsid.InstanceID, w hswork.WorkerSpeed) bool { return clock-w.Updated > hswork.SpeedRetention })
+	dropOldSpeeds(s, clock)
 	if len(s.Speeds) <= hswork.MaxSpeeds {
 		return
 	}
--- a/core/command/hslifecycle/speed_test.go
+++ b/core/command/hslifecycle/speed_test.go
@@ -37,6 +37,8 @@
 		{"recorded", []step{{speeds(0, 2, 0.5, 0.1), 1}}, 2, "0.50 0.100 1ns"},
 		{"replaced", []step{{speeds(0, 2, 0.5, 0.1), 1}, {speeds(0, 1, -0.2, 0.05), 2}}, 2, "-0.20 0.050 2ns"},
 		{"dropped when it wasn't updated for an hour", []step{{speeds(0, 1, 1, 0.1), 1}, {speeds(1, 1, 1, 0.1), time.Hour + 2}}, 1, "0.00 0.000 0s"},
+		{"dropped an hour after speeds were switched off", []step{{speeds(0, 1, 1, 0.1), 1}, {&hswork.Command{Submit: &hswork.Submit{}}, time.Hour + 2}}, 0, "0.00 0.000 0s"},
+		{"kept for an hour", []step{{speeds(0, 1, 1, 0.1), 1}, {&hswork.Command{Submit: &hswork.Submit{}}, time.Hour}}, 1, "1.00 0.100 1ns"},
 		{"the oldest are dropped above the limit", []step{{speeds(0, 10, 1, 0.1), 1}, {speeds(10, hswork.MaxSpeeds, 1, 0.1), 2}}, hswork.MaxSpeeds, "0.00 0.000 0s"},
 		{"too large", []step{{speeds(0, 1, 100, 9), 1}}, 1, "3.00 0.160 1ns"},
 		{"infinite", []step{{speeds(0, 1, hswork.LogFactor(math.Inf(-1)), math.Inf(1)), 1}}, 1, "-3.00 0.160 1ns"},
