hsspeed: old estimates are still estimates

80 s without readings the variance of every worker is that of the prior, and the odds for uneven workers are 1 to 1. The estimates became zero then, although the means are the best that is known, and urgent jobs after a quiet time were placed as on even workers. They become zero only when the observations show even workers now, and a new leader judges that by the speeds as they were committed.

--- a/core/command/hsspeed/evidence.go
+++ b/core/command/hsspeed/evidence.go
@@ -7,13 +7,14 @@
 )
 
 const (
-	// showsUneven and showsEven are the logarithms of the odds for uneven workers from which on, and below which, the
-	// workers are taken to differ: 20 to 1, and 1 to 1.
+	// showsUneven and showsEven are the logarithms of the odds for uneven workers from which on the workers are taken to
+	// differ, and down to which they are: 20 to 1, and 1 to 20. Odds of 1 to 1 mean that nothing is known any more.
 	showsUneven = 3.0
-	showsEven   = 0.0
-	// showsWorker is the same as showsUneven for one worker on a fleet that is even otherwise: 150 to 1, as some of many
-	// workers deviate by chance.
-	showsWorker = 5.0
+	showsEven   = -3.0
+	// showsWorker and showsAverage are the same for one worker on a fleet that is even otherwise: 150 to 1, as some of many
+	// workers deviate by chance, and 1 to 1.6. The odds for an average worker don't get much lower.
+	showsWorker  = 5.0
+	showsAverage = -0.5
 	// smallSpread is the variance between workers of a fleet in which they differ a little: a standard deviation of 0.14. A
 	// third of the workers that are slower by a factor of 1.3 have about that.
 	smallSpread = 0.02
@@ -31,15 +32,15 @@
 		own := logOdds(b, t.mean, hswork.PriorVariance)
 		large += own
 		small += logOdds(b, t.mean, smallSpread)
-		w.shown = w.deviates || above(own, showsWorker, w.shown)
+		w.shown = w.deviates || above(own, showsWorker, showsAverage, w.shown)
 	}
-	t.uneven = above(max(large, small), showsUneven, t.uneven)
+	t.uneven = above(max(large, small), showsUneven, showsEven, t.uneven)
 }
 
-// above compares odds with a limit, which is showsEven once it was reached.
-func above(odds, limit float64, reached bool) bool {
+// above compares odds with a limit, which is a lower one once it was reached.
+func above(odds, limit, lower float64, reached bool) bool {
 	if reached {
-		limit = showsEven
+		limit = lower
 	}
 	return odds > limit
 }
--- a/core/command/hsspeed/propose_test.go
+++ b/core/command/hsspeed/propose_test.go
@@ -36,6 +36,7 @@
 	}{
 		{"another replica takes over", 2 * time.Second, 0.2, true, 0.001, 0.08},
 		{"all control processes are restarted", 20 * time.Second, 0.2, true, 0.03, 0.11},
+		{"another replica takes over after a quiet time", 10 * time.Minute, 0.2, true, 0.16, 0.16},
 		{"the cluster was down for hours", 3 * time.Hour, 1, false, 0, 0},
 	}
 	for _, tt := range tables {
--- a/core/command/hsspeed/tracker.go
+++ b/core/command/hsspeed/tracker.go
@@ -67,6 +67,9 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(committed)) {
 		c := committed[id].Bounded()
+		if clock-c.Updated > hswork.SpeedRetention {
+			continue
+		}
 		w := t.worker(id)
 		if w == nil {
 			break
@@ -74,9 +77,15 @@
 		w.incarnation = c.Incarnation
 		w.runs = c.Runs
 		w.committed, w.hasCommitted = c, true
-		w.committedAt = -min(max(clock-c.Updated, 0), hswork.SpeedRetention)
+		w.committedAt = -max(clock-c.Updated, 0)
 		w.settled = belief{mean: float64(c.Slowdown), variance: c.Variance, at: w.committedAt}
 	}
+	// Workers differ if they did when their speeds were committed, however long ago that is.
+	for _, w := range t.order {
+		w.current = w.settled
+	}
+	t.updateMean()
+	t.weighEvidence()
 	t.Update(now)
 	return t
 }
@@ -201,11 +210,24 @@
 	}
 	t.dirty = t.dirty[:0]
 	t.settleFinished(now)
-	var sum float64
-	known, unseen := 0, false
+	unseen := false
 	for _, w := range t.order {
 		w.update(now)
 		unseen = unseen || w.unseen(now)
+	}
+	if unseen {
+		t.dropUnseen(now)
+	}
+	t.updateMean()
+	t.weighEvidence()
+	return t.classify()
+}
+
+// updateMean computes the mean slowdown of the known workers.
+func (t *Tracker) updateMean() {
+	var sum float64
+	known := 0
+	for _, w := range t.order {
 		if w.known() {
 			sum += w.current.mean
 			known++
@@ -215,11 +237,6 @@
 	if known > 0 {
 		t.mean = sum / float64(known)
 	}
-	if unseen {
-		t.dropUnseen(now)
-	}
-	t.weighEvidence()
-	return t.classify()
 }
 
 // settleFinished settles the groups without runs whose time has come.
--- a/core/command/hsspeed/tracker_test.go
+++ b/core/command/hsspeed/tracker_test.go
@@ -197,8 +197,9 @@
 	f.tracker.Update(f.now.Add(30 * time.Second))
 	later := f.tracker.Estimate("w000").Variance
 	f.tracker.Update(f.now.Add(10 * time.Minute))
-	if last := f.tracker.Estimate("w000").Variance; later < before+0.04 || last != hswork.PriorVariance && last != 0 {
-		t.Errorf("got variances of %.3f, %.3f and %.3f, want them to grow up to that of the prior", before, later, last)
+	last := f.tracker.Estimate("w000")
+	if later < before+0.04 || last.Variance != hswork.PriorVariance || last.Slowdown < 0.3 {
+		t.Errorf("got variances of %.3f, %.3f and then %+v, want the slowdown with a variance that grows up to that of the prior", before, later, last)
 	}
 }
 
