--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -234,6 +234,10 @@
 
 // Applied updates the dispatcher after a command was applied to the replicated state.
 func (d *Dispatcher) Applied(c *hswork.Command) {
+	if c.Speeds != nil {
+		d.speedsCommitted(c.Speeds)
+		return
+	}
 	d.passDue = true
 	d.placed.applied(d.state, c)
 	switch {
@@ -246,8 +250,6 @@
 		d.appliedEnds(c.End)
 	case c.Cancel != nil:
 		d.requestPlansForJob(c.Cancel.ID)
-	case c.Speeds != nil:
-		d.speedsCommitted(c.Speeds)
 	}
 }
 
--- a/io/hsdecision/recorder.go
+++ b/io/hsdecision/recorder.go
@@ -143,7 +143,7 @@
 func (rc *Recorder) SpeedChanged(c hsspeed.ClassChange) {
 	rc.speedChanges.WithLabelValues(c.To.String()).Inc()
 	rc.log.Info("worker speed changed", "worker", c.Worker, "from", c.From.String(), "to", c.To.String(), "readings", c.Runs,
-		"slowdown", float64(c.Estimate.Slowdown), "deviation", math.Sqrt(c.Estimate.Variance), "recent", c.Recent)
+		"slowdown", fmt.Sprintf("%.2f", float64(c.Estimate.Slowdown)), "deviation", fmt.Sprintf("%.2f", math.Sqrt(c.Estimate.Variance)), "recent", c.Recent)
 }
 
 // EndpointChanged records an announcement from the endpoint.
