hsdispatch: workers with a speed and tasks with work in the test harness

Tests of placement by speed need runs whose progress and end depend on the worker. advance now carries out the plans for jobs that have work, lists their whole percentage once a second and lists their ends; jobs without work are driven by the test as before. fakeSpeeds stands for the tracker.

--- a/core/command/hsdispatch/export_test.go
+++ b/core/command/hsdispatch/export_test.go
@@ -28,3 +28,6 @@
 	}
 	return nil
 }
+
+// SetSpeeds replaces the source of the estimates of the workers' speeds.
+func (d *Dispatcher) SetSpeeds(s Speeds) { d.speeds = s }
--- a/core/command/hsdispatch/harness_test.go
+++ b/core/command/hsdispatch/harness_test.go
@@ -30,8 +30,16 @@
 	reports map[hsid.InstanceID]*hsmessage.RunnerReport
 	// adviser is the adviser of the next leadership; it may be nil.
 	adviser hsdispatch.Adviser
-	// features are the optional parts of the next leadership.
+	// features and speeds are those of the next leadership; without speeds the dispatcher has its own.
 	features hsdispatch.Features
+	speeds   hsdispatch.Speeds
+	// slowdowns holds the ratio of run times of workers that aren't average.
+	slowdowns map[hsid.InstanceID]float64
+	// work holds the run times of the tasks of jobs, by step, on an average worker. Workers carry out the plans for runs of
+	// these jobs by themselves; those of other jobs only as a test has them do it.
+	work map[hswork.ID][]time.Duration
+	// simulated holds the runs that advance lets progress.
+	simulated map[hswork.RunID]*simulatedRun
 }
 
 func (h *harness) Now() time.Time {
@@ -77,6 +85,10 @@
 		state:   hswork.NewState(),
 		plans:   map[hsid.InstanceID]hsmessage.Plan{},
 		reports: map[hsid.InstanceID]*hsmessage.RunnerReport{},
+
+		slowdowns: map[hsid.InstanceID]float64{},
+		work:      map[hswork.ID][]time.Duration{},
+		simulated: map[hswork.RunID]*simulatedRun{},
 	}
 	h.state.Catalog = hswork.Catalog{
 		Version:    1,
@@ -92,6 +104,9 @@
 	c := hsdispatch.Config{Lease: lease, StopTimeout: 400 * time.Millisecond, Features: h.features}
 	h.proposed = nil
 	h.dispatcher = hsdispatch.New(c, hsdispatch.Ports{Clock: h, Sender: h, Log: h, Observer: h, Adviser: h.adviser}, h.state, term)
+	if h.speeds != nil {
+		h.dispatcher.SetSpeeds(h.speeds)
+	}
 }
 
 // addWorker adds a worker on a rack, with 32 cores, 128 GiB and 8 accelerators, and delivers its first report.
@@ -150,10 +165,12 @@
 	h.dispatcher.Applied(c)
 }
 
-// advance lets time pass in small steps. In each one all workers report, and all proposals are committed.
+// advance lets time pass in small steps. In each one runs of jobs with work progress, all workers report, and all proposals
+// are committed.
 func (h *harness) advance(d time.Duration) {
 	for end := h.now.Add(d); h.now.Before(end); {
 		h.now = h.now.Add(100 * time.Millisecond)
+		h.simulate(100 * time.Millisecond)
 		h.reportAll()
 		h.dispatcher.Wake()
 		h.dispatcher.Flush()
