hsdispatch: a long task isn't taken for stalled between two percentages

Progress is reported in whole percent. A task of 130 s on a worker that takes 2.4 times as long needs 3.1 s for each, and was stopped after 2 s without another one, again after each restart, and lost its work. The callers of long jobs saw them start over and over.

Two expected percent steps are added to the timeout, by the larger of the declared and the estimated run time, or by the run's own progress where that is slower.

--- a/core/command/hsdispatch/stall.go
+++ b/core/command/hsdispatch/stall.go
@@ -18,6 +18,9 @@
 	stallPercent = 50
 	// endCommitTime is how long it takes until an end is reported, committed and acknowledged.
 	endCommitTime = 300 * time.Millisecond
+	// stallSteps is how many percent steps a run is expected to take within the time that it may go without progress, on
+	// top of its timeout. Progress is reported in whole percent, and a long task takes seconds for each.
+	stallSteps = 2
 	// gangBarrierPercent is the progress from which on a member of a gang may be waiting for slower members, as a
 	// gang ends together. It isn't taken for stalled then.
 	gangBarrierPercent = 95
@@ -97,5 +100,15 @@
 	if began, ok := d.runningSince[p.run]; ok && !p.step.Checkpoints {
 		limit = max(limit, seen.changedAt.Sub(began)*stallPercent/100)
 	}
-	return now.Sub(seen.changedAt) > limit
+	return now.Sub(seen.changedAt) > limit+stallSteps*d.percentTime(p, seen)
+}
+
+// percentTime returns how long a run is expected to take for one percent: by the larger of the declared and the estimated run
+// time, or by its own progress if that is slower, as both may be too short.
+func (d *Dispatcher) percentTime(p placedRun, seen progress) time.Duration {
+	expected := max(p.step.Estimate, d.expectedRunTime(p.job, p.step)) / 100
+	if gained := seen.percent - seen.firstPercent; gained >= minExtrapolationPercent {
+		expected = max(expected, seen.changedAt.Sub(seen.firstSeen)/time.Duration(gained))
+	}
+	return expected
 }
--- a/core/command/hsdispatch/stall_test.go
+++ b/core/command/hsdispatch/stall_test.go
@@ -68,3 +68,53 @@
 		}
 	}
 }
+
+// TestSlowTaskIsNotStalled checks that a task whose percent steps take longer than the stall timeout goes on. Pattern: tasks of
+// two minutes and more list a whole percentage every few seconds, and were stopped before they reached the first one.
+func TestSlowTaskIsNotStalled(t *testing.T) {
+	gang := func(s *hswork.Step) { s.Gang = true }
+	tables := []struct {
+		name     string
+		step     hswork.Step
+		declared time.Duration
+		work     time.Duration
+		slowdown float64
+	}{
+		{"a task of 130 s", step(1, 1000, 1), 130 * time.Second, 130 * time.Second, 1},
+		{"a task of 130 s on a slow worker", step(1, 1000, 1), 130 * time.Second, 130 * time.Second, 2.4},
+		{"a gang on a slow worker", with(step(2, 1000, 1), gang), 300 * time.Second, 300 * time.Second, 2.4},
+		{"a task that was declared too short", step(1, 1000, 1), 260 * time.Second, 400 * time.Second, 1},
+		{"a task of many hours", step(1, 1000, 1), 1000 * time.Hour, 1000 * time.Hour, 1},
+		{"a task with the longest time that can be declared", step(1, 1000, 1), 1<<63 - 1, 1000 * time.Hour, 1},
+	}
+	for _, tt := range tables {
+		h := newHarness(t)
+		h.addWorker("a", "r1-1")
+		h.slowdowns["a"] = tt.slowdown
+		h.submitWork(1, 1, "w2", tt.work, with(tt.step, func(s *hswork.Step) { s.Estimate = tt.declared }))
+		h.advance(25 * time.Second)
+		h.assertEqual(tt.name+": stops", len(h.stops), 0)
+	}
+}
+
+// TestStallOfLongTask checks that the stall of a long task is still found once it lasts longer than two percent steps and the
+// timeout.
+func TestStallOfLongTask(t *testing.T) {
+	tables := []struct {
+		name string
+		wait time.Duration
+		want int
+	}{
+		{"within two steps and the timeout", 4500 * time.Millisecond, 0},
+		{"after them", 5 * time.Second, 1},
+	}
+	for _, tt := range tables {
+		h := newHarness(t)
+		a := h.addWorker("a", "r1-1")
+		h.submit(1, 1, "w2", with(step(1, 1000, 1), func(s *hswork.Step) { s.Estimate = 130 * time.Second }))
+		h.applyPlan("a")
+		a.Running[0].Percent = 1
+		h.advance(tt.wait)
+		h.assertEqual(tt.name+": stops", len(h.stops), tt.want)
+	}
+}
