hsdispatch: a unit isn't left on a worker whose notice of departure came before its start

A runner starts nothing once its endpoint has announced that it leaves. A run that was placed there just before stayed placed for as long as it would have ended before the departure, and was stopped with reason leaving when it no longer would: a task of 5 s on a worker that left in 20 s waited for 14 s. The other members of a gang were started meanwhile, or in the plans that went out between the commit and the next pass, and were stopped in vain.

Such a run is stopped at once, and its gang with it, also when the start is committed after the notice.

--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -246,6 +246,7 @@
 		for _, m := range c.Start.Members {
 			d.requestPlan(m.Worker)
 		}
+		d.stopOnLeaving(c.Start)
 	case c.End != nil:
 		d.appliedEnds(c.End)
 	case c.Cancel != nil:
--- /dev/null
+++ b/core/command/hsdispatch/leaving.go
@@ -0,0 +1,40 @@
+package hsdispatch
+
+import (
+	"time"
+
+	"hyssopseam/core/hswork"
+)
+
+// cannotBegin reports whether a placed run won't begin because its worker leaves: a runner starts nothing any more once its
+// endpoint has announced that. It is so for starts that were under way when the notice arrived.
+func (d *Dispatcher) cannotBegin(p placedRun, w *worker) bool {
+	_, began := d.runningSince[p.run]
+	return !began && w.report.ListsKnown && w.report.Endpoint.Leaving
+}
+
+// stopOnLeaving stops a unit whose start was committed after the notice of departure of one of its workers. The plans that follow
+// would start the other members of the gang.
+func (d *Dispatcher) stopOnLeaving(s *hswork.Start) {
+	for _, m := range s.Members {
+		w := d.workers[m.Worker]
+		if w == nil {
+			continue
+		}
+		run := hswork.RunID{Task: m.Task, Number: s.Number}
+		for _, p := range d.placedOn(m.Worker) {
+			if p.run == run && !d.stopping[run] && d.cannotBegin(p, w) {
+				d.stopRun(p, StopLeaving, "")
+				return
+			}
+		}
+	}
+}
+
+// outlastsWorker reports whether a run has to be stopped because its worker leaves: it isn't expected to end early
+// enough, or it is time to stop it. The end of a run that ends just as its worker leaves would go unseen, and the
+// task would run again.
+func (d *Dispatcher) outlastsWorker(p placedRun, leavesIn time.Duration, now time.Time) bool {
+	left := leavesIn - d.config.StopTimeout - endCommitTime
+	return left <= 0 || d.remainingTime(p, now) > left
+}
--- a/core/command/hsdispatch/stall.go
+++ b/core/command/hsdispatch/stall.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// relocateRuns stops runs that make no progress, and runs that won't end before their worker leaves. Later passes
+// relocateRuns stops runs that make no progress, and runs that won't begin or end before their worker leaves. Later passes
 // start them again on other workers. Runs on silent or unhealthy workers are left alone, and so are long-running ones
 // unless their worker leaves.
 func (d *Dispatcher) relocateRuns(now time.Time) {
@@ -69,21 +69,13 @@
 			case d.stalled(p, now):
 				w.health.recordStall(now)
 				d.stopRun(p, StopStalled, "")
-			case w.report.Endpoint.Leaving && d.outlastsWorker(p, w.report.Endpoint.LeavesIn, now):
+			case w.report.Endpoint.Leaving && (d.cannotBegin(p, w) || d.outlastsWorker(p, w.report.Endpoint.LeavesIn, now)):
 				d.stopRun(p, StopLeaving, "")
 			}
 		}
 	}
 }
 
-// outlastsWorker reports whether a run has to be stopped because its worker leaves: it isn't expected to end early
-// enough, or it is time to stop it. The end of a run that ends just as its worker leaves would go unseen, and the
-// task would run again.
-func (d *Dispatcher) outlastsWorker(p placedRun, leavesIn time.Duration, now time.Time) bool {
-	left := leavesIn - d.config.StopTimeout - endCommitTime
-	return left <= 0 || d.remainingTime(p, now) > left
-}
-
 // stalled reports whether a run has made no progress for longer than its stall timeout.
 func (d *Dispatcher) stalled(p placedRun, now time.Time) bool {
 	seen, ok := d.progress[p.run]
