hsdispatch: placement, run times and stall timeouts by worker speed

A third of the customers' workers take 1.3 or 2.4 times as long for the same work, and a gang is as slow as its slowest member, so urgent gangs missed their objective as soon as one member was on a slow worker.

With Features.Speeds, each worker that a unit uses adds 5 * lateRisk - 0.3 * slowdown to its cost, so that units with little time get fast workers and others leave them free. Expected and remaining run times, backfill and stall timeouts use the slowdown; a gang ends with its slowest member. Estimates count only once they show that the fleet is uneven, so decisions on an even fleet are those of today. The risk is computed once a pass for each step and class of equal speed.

--- a/core/command/hsdispatch/bench_test.go
+++ b/core/command/hsdispatch/bench_test.go
@@ -9,20 +9,34 @@
 )
 
 // BenchmarkPass measures a scheduling pass at the size of the target in docs/CAPACITY.md: 770 workers with ten
-// tasks each, and waiting jobs.
+// tasks each, and waiting jobs. With speeds, every third worker is known to be slow.
 func BenchmarkPass(b *testing.B) {
 	tables := []struct {
 		workers int
 		waiting int
+		speeds  bool
 	}{
-		{11, 20},
-		{61, 50},
-		{770, 0},
-		{770, 200},
+		{11, 20, false},
+		{61, 50, false},
+		{770, 0, false},
+		{770, 200, false},
+		{770, 0, true},
+		{770, 200, true},
 	}
 	for _, tt := range tables {
-		b.Run(fmt.Sprintf("workers=%d/waiting=%d", tt.workers, tt.waiting), func(b *testing.B) {
+		name := fmt.Sprintf("workers=%d/waiting=%d", tt.workers, tt.waiting)
+		if tt.speeds {
+			name += "/speeds"
+		}
+		b.Run(name, func(b *testing.B) {
 			h := newHarness(nil)
+			if tt.speeds {
+				for i := range tt.workers {
+					h.slowdowns[hsid.InstanceID(fmt.Sprintf("w%04d", i))] = []float64{0.7, 0.8, 1.7}[i%3] + float64(i%20)/100
+				}
+				h.features.Speeds, h.speeds = true, h.estimates()
+				h.startLeadership(1)
+			}
 			for i := range tt.workers {
 				h.addWorker(fmt.Sprintf("w%04d", i), fmt.Sprintf("r1-%d", i/6))
 			}
--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -182,6 +182,8 @@
 	speeds Speeds
 	// tracker is what speeds reads if speeds are learned; nil otherwise.
 	tracker *hsspeed.Tracker
+	// fleet holds the speeds as of the last pass.
+	fleet fleetSpeeds
 
 	permits  map[StepID]*stepPermits
 	restarts map[hswork.TaskID]restart
@@ -217,6 +219,7 @@
 		progress:       map[hswork.RunID]progress{},
 		failedOn:       map[StepID]map[hsid.InstanceID]bool{},
 		speeds:         evenSpeeds{},
+		fleet:          newFleetSpeeds(),
 		permits:        map[StepID]*stepPermits{},
 		restarts:       map[hswork.TaskID]restart{},
 		drainingUntil:  map[hswork.EndpointID]time.Time{},
@@ -313,6 +316,7 @@
 	d.passDue = false
 	d.lastPass = d.ports.Clock.Now()
 	d.updateSpeeds(d.lastPass)
+	d.readSpeeds()
 	d.endLostRuns(d.lastPass)
 	d.relocateRuns(d.lastPass)
 	d.stopUnstarted()
--- a/core/command/hsdispatch/estimate.go
+++ b/core/command/hsdispatch/estimate.go
@@ -18,7 +18,7 @@
 	overrunPercent = 50
 )
 
-// expectedRunTime returns the estimated run time of a task of a step.
+// expectedRunTime returns the estimated run time of a task of a step on an average worker.
 func (d *Dispatcher) expectedRunTime(j *hswork.Job, s *hswork.Step) time.Duration {
 	return d.state.RunTimes[j.Queue].Estimate(s.Estimate)
 }
@@ -33,15 +33,24 @@
 	return d.workOf(e.Run, now.Sub(began))
 }
 
-// remainingTime estimates when a run ends, as a duration from now. It extrapolates from the observed progress, or
-// without enough of it falls back on the expected run time.
+// remainingTime estimates when a run ends, as a duration from now. On an uneven fleet, the members of a gang end with the
+// slowest one.
 func (d *Dispatcher) remainingTime(p placedRun, now time.Time) time.Duration {
+	if d.fleet.uneven && p.step.Gang {
+		return max(d.gangPaceOf(p).endsIn-now.Sub(d.lastPass), minRemaining)
+	}
+	return d.remainingOf(p, d.factorOfRun(p), now)
+}
+
+// remainingOf estimates the remaining time of one run on a worker that takes factor times as long as the average one. It
+// extrapolates from the observed progress, or without enough of it falls back on the expected run time.
+func (d *Dispatcher) remainingOf(p placedRun, factor float64, now time.Time) time.Duration {
 	seen := d.progress[p.run]
 	if gained := seen.percent - seen.firstPercent; gained >= minExtrapolationPercent {
 		perPercent := seen.changedAt.Sub(seen.firstSeen) / time.Duration(gained)
 		return max(perPercent*time.Duration(100-seen.percent)-now.Sub(seen.changedAt), minRemaining)
 	}
-	expected := d.expectedRunTime(p.job, p.step)
+	expected := scaled(d.expectedRunTime(p.job, p.step), factor)
 	began, ok := d.runningSince[p.run]
 	if !ok {
 		return expected
--- a/core/command/hsdispatch/harness_test.go
+++ b/core/command/hsdispatch/harness_test.go
@@ -33,6 +33,9 @@
 	// features and speeds are those of the next leadership; without speeds the dispatcher has its own.
 	features hsdispatch.Features
 	speeds   hsdispatch.Speeds
+	// stretch and target are the latency objective of the next jobs.
+	stretch float64
+	target  time.Duration
 	// slowdowns holds the ratio of run times of workers that aren't average.
 	slowdowns map[hsid.InstanceID]float64
 	// work holds the run times of the tasks of jobs, by step, on an average worker. Workers carry out the plans for runs of
@@ -86,6 +89,7 @@
 		plans:   map[hsid.InstanceID]hsmessage.Plan{},
 		reports: map[hsid.InstanceID]*hsmessage.RunnerReport{},
 
+		stretch:   3,
 		slowdowns: map[hsid.InstanceID]float64{},
 		work:      map[hswork.ID][]time.Duration{},
 		simulated: map[hswork.RunID]*simulatedRun{},
@@ -196,7 +200,7 @@
 func (h *harness) submit(n, priority int, workspace hsid.WorkspaceID, steps ...hswork.Step) hswork.ID {
 	s := hswork.Submission{ID: jobID(n), Spec: "spec", Steps: steps}
 	h.apply(&hswork.Command{Submit: &hswork.Submit{
-		Submission: s, Queue: "queue", Pool: "pool", Workspace: workspace, Priority: priority, Attempts: 2, Stretch: 3,
+		Submission: s, Queue: "queue", Pool: "pool", Workspace: workspace, Priority: priority, Attempts: 2, Stretch: h.stretch, Target: h.target,
 	}})
 	h.dispatcher.Flush()
 	h.commit()
--- a/core/command/hsdispatch/place.go
+++ b/core/command/hsdispatch/place.go
@@ -171,7 +171,7 @@
 // already counts. Covered units may use reserved workers.
 func (d *Dispatcher) mayBackfill(u *unit, o *offer, left hswork.Resources) bool {
 	taken := o.free.Minus(left).Plus(need(u.step))
-	return u.covered || o.reserved.allowsBackfill(taken, d.expectedRunTime(u.job, u.step))
+	return u.covered || o.reserved.allowsBackfill(taken, d.expectedRunTimeOn(u.job, u.step, o.worker))
 }
 
 // cheapest returns the worker where the next task of a unit costs least, or nil if it fits on none. Counts holds the
@@ -191,6 +191,9 @@
 			continue
 		}
 		cost += penalty(u, o)
+		if counts[o.worker.id] == 0 || !u.step.Gang {
+			cost += d.speedCost(u, o)
+		}
 		if best == nil || cost < bestCost {
 			best = o
 			bestCost = cost
--- a/core/command/hsdispatch/simulate_test.go
+++ b/core/command/hsdispatch/simulate_test.go
@@ -14,14 +14,17 @@
 // listInterval is the time between two updates of the progress that a simulated run lists.
 const listInterval = time.Second
 
-// fakeSpeeds is a hsdispatch.Speeds with fixed estimates. Other workers are unknown.
+// fakeSpeeds is a hsdispatch.Speeds with fixed estimates. Other workers are unknown; without any, no worker is known to differ.
 type fakeSpeeds map[hsid.InstanceID]hswork.SpeedEstimate
 
 func (f fakeSpeeds) Estimate(worker hsid.InstanceID) hswork.SpeedEstimate {
 	if e, ok := f[worker]; ok {
 		return e
 	}
-	return hswork.SpeedEstimate{Variance: 0.16}
+	if len(f) == 0 {
+		return hswork.SpeedEstimate{}
+	}
+	return hswork.SpeedEstimate{Variance: hswork.PriorVariance}
 }
 
 // estimates returns an estimate with a standard deviation of 0.1 of the true slowdown of each worker that has one.
--- a/core/command/hsdispatch/stall.go
+++ b/core/command/hsdispatch/stall.go
@@ -95,10 +95,10 @@
 	return now.Sub(seen.changedAt) > limit+stallSteps*d.percentTime(p, seen)
 }
 
-// percentTime returns how long a run is expected to take for one percent: by the larger of the declared and the estimated run
-// time, or by its own progress if that is slower, as both may be too short.
+// percentTime returns how long a run is expected to take for one percent: by the larger of the declared and the estimated work,
+// times the slowdown of the slowest worker, or by its own progress if that is slower, as both may be too short.
 func (d *Dispatcher) percentTime(p placedRun, seen progress) time.Duration {
-	expected := max(p.step.Estimate, d.expectedRunTime(p.job, p.step)) / 100
+	expected := scaled(max(p.step.Estimate, d.expectedRunTime(p.job, p.step))/100, d.factorOfRun(p))
 	if gained := seen.percent - seen.firstPercent; gained >= minExtrapolationPercent {
 		expected = max(expected, seen.changedAt.Sub(seen.firstSeen)/time.Duration(gained))
 	}
--- a/core/command/hsdispatch/unit.go
+++ b/core/command/hsdispatch/unit.go
@@ -24,6 +24,8 @@
 	slack time.Duration
 	// usesHeadroom is set if the unit may be placed on the headroom of an offer.
 	usesHeadroom bool
+	// outlook is that of the unit's step in this pass; nil before it is needed.
+	outlook *outlook
 }
 
 // key returns the first task, which identifies the unit.
--- a/core/command/hsdispatch/victims.go
+++ b/core/command/hsdispatch/victims.go
@@ -133,7 +133,11 @@
 		return 0, false
 	}
 	_, before, _ := v.choose(o, left)
-	return after - before, true
+	cost := after - before
+	if left == o.free {
+		cost += v.dispatcher.latenessCost(v.unit, o)
+	}
+	return cost, true
 }
 
 // choose returns the runs to preempt on a worker so that no resource of left is below zero, and their total cost. It
--- a/core/command/hsdispatch/worker.go
+++ b/core/command/hsdispatch/worker.go
@@ -27,6 +27,8 @@
 	planDue bool
 	health  health
 	urgent  urgentUse
+	// speed is the class of the worker's speed as of the last pass.
+	speed speedClass
 }
 
 // need returns the resources that a task of a step reserves on its worker. A best-effort step reserves no cores: its
