hsdispatch: urgent units wait for fast workers or preempt there

Preferring fast workers doesn't help while only slow ones are free. A unit that is likely to be on time on some workers and late on others now starts on the former; if they are busy, it waits for them up to the stop timeout, or else preempts runs there, where the risk of being late counts as lost work, or else starts on what is free. hasWaited and the time in which a guarantee has to be met end every hold. Holds are logged and counted (work_held_total).

--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -118,6 +118,9 @@
 	RunEnded(e *hswork.End, worker hsid.InstanceID)
 	// Stopping reports the decision to stop a run.
 	Stopping(s Stop)
+	// Held reports that a unit is held back, though it may fit on free workers. It is reported once for each time that the
+	// unit becomes ready.
+	Held(h Hold)
 	// WorkerChanged reports that a worker announced another incarnation of its endpoint, or that usable changed:
 	// whether it accepts new runs.
 	WorkerChanged(id hsid.InstanceID, endpoint hsmessage.Endpoint, usable bool)
@@ -162,6 +165,8 @@
 	claims map[hswork.TaskID]*claim
 	// readySince is when each waiting unit was first seen ready, by its first task.
 	readySince map[hswork.TaskID]time.Time
+	// heldSince is when each waiting unit was first held back, by its first task.
+	heldSince map[hswork.TaskID]time.Time
 	// runningSince is when each run was first reported as running.
 	runningSince map[hswork.RunID]time.Time
 	// startedJobs holds the jobs of which a task was reported as running.
@@ -214,6 +219,7 @@
 		stopping:       map[hswork.RunID]bool{},
 		claims:         map[hswork.TaskID]*claim{},
 		readySince:     map[hswork.TaskID]time.Time{},
+		heldSince:      map[hswork.TaskID]time.Time{},
 		runningSince:   map[hswork.RunID]time.Time{},
 		startedJobs:    map[hswork.ID]bool{},
 		progress:       map[hswork.RunID]progress{},
--- a/core/command/hsdispatch/harness_test.go
+++ b/core/command/hsdispatch/harness_test.go
@@ -24,6 +24,7 @@
 	dispatcher *hsdispatch.Dispatcher
 	proposed   []*hswork.Command
 	stops      []hsdispatch.Stop
+	holds      []hsdispatch.Hold
 	// tick is how much time passes with each reading of the clock.
 	tick    time.Duration
 	plans   map[hsid.InstanceID]hsmessage.Plan
@@ -65,6 +66,7 @@
 
 func (h *harness) Placed(*hswork.Start, time.Duration)                     {}
 func (h *harness) RunEnded(*hswork.End, hsid.InstanceID)                   {}
+func (h *harness) Held(x hsdispatch.Hold)                                  { h.holds = append(h.holds, x) }
 func (h *harness) Stopping(s hsdispatch.Stop)                              { h.stops = append(h.stops, s) }
 func (h *harness) WorkerChanged(hsid.InstanceID, hsmessage.Endpoint, bool) {}
 func (h *harness) SpeedChanged(hsspeed.ClassChange)                        {}
--- a/core/command/hsdispatch/place.go
+++ b/core/command/hsdispatch/place.go
@@ -158,7 +158,7 @@
 // isEligible reports whether a unit may be placed on a worker that has the capacity: it suits the unit, has a valid ticket
 // where that is needed, and isn't avoided.
 func (d *Dispatcher) isEligible(u *unit, o *offer, rack hswork.Label) bool {
-	if rack != "" && o.rack != rack || !o.suits(u.job.Pool, u.step) {
+	if rack != "" && o.rack != rack || !o.suits(u.job.Pool, u.step) || d.isTooSlow(u, o.worker) {
 		return false
 	}
 	if _, ok := d.validTicket(u, o); !ok {
--- a/core/command/hsdispatch/reserve.go
+++ b/core/command/hsdispatch/reserve.go
@@ -31,8 +31,8 @@
 }
 
 // earliestFit returns the workers where a unit that doesn't fit now is expected to fit first at full speed, and the
-// time until then. It returns nil and never if no such workers are known.
-func (d *Dispatcher) earliestFit(u *unit, offers []*offer, now time.Time) ([]*candidate, time.Duration) {
+// time until then. It returns nil and never if no such workers are known, or only after a wait above the limit.
+func (d *Dispatcher) earliestFit(u *unit, offers []*offer, limit time.Duration, now time.Time) ([]*candidate, time.Duration) {
 	var best []*candidate
 	bestWait := never
 	racks := d.localRacks(u, offers)
@@ -40,7 +40,7 @@
 		racks = []hswork.Label{""}
 	}
 	for _, rack := range racks {
-		if found, wait := d.earliestFitOn(u, offers, rack, now); found != nil && wait < bestWait {
+		if found, wait := d.earliestFitOn(u, offers, rack, limit, now); found != nil && wait < bestWait {
 			best = found
 			bestWait = wait
 		}
@@ -95,13 +95,13 @@
 }
 
 // earliestFitOn returns the workers on one rack, or on any for an empty rack, where all tasks of a unit are expected
-// to fit first, and the time until then. Suspect workers and reserved ones are left out. Long-running runs aren't expected to
-// end.
-func (d *Dispatcher) earliestFitOn(u *unit, offers []*offer, rack hswork.Label, now time.Time) ([]*candidate, time.Duration) {
+// to fit first, and the time until then, up to a limit. Suspect workers, reserved ones and those too slow for the unit are left
+// out. Long-running runs aren't expected to end.
+func (d *Dispatcher) earliestFitOn(u *unit, offers []*offer, rack hswork.Label, limit time.Duration, now time.Time) ([]*candidate, time.Duration) {
 	var candidates []*candidate
 	waits := []time.Duration{0}
 	for _, o := range offers {
-		if o.reserved != nil || rack != "" && o.rack != rack || !o.suits(u.job.Pool, u.step) || o.worker.health.suspect() {
+		if o.reserved != nil || rack != "" && o.rack != rack || !o.suits(u.job.Pool, u.step) || o.worker.health.suspect() || d.isTooSlow(u, o.worker) {
 			continue
 		}
 		c := &candidate{offer: o}
@@ -110,6 +110,9 @@
 				continue
 			}
 			r := release{endsIn: d.remainingTime(p, now), resources: need(p.step)}
+			if r.endsIn > limit {
+				continue
+			}
 			c.releases = append(c.releases, r)
 			waits = append(waits, r.endsIn)
 		}
--- a/core/command/hsdispatch/schedule.go
+++ b/core/command/hsdispatch/schedule.go
@@ -11,6 +11,7 @@
 func (d *Dispatcher) schedule(now time.Time) {
 	offers := d.offers(now)
 	units := d.readyUnits(now)
+	d.dropHolds()
 	d.expireClaims(units, now)
 	unplaceable := map[placementClass]bool{}
 	for _, u := range units {
@@ -25,11 +26,14 @@
 		if unplaceable[class] && !u.covered {
 			continue
 		}
+		if d.startOnTime(u, offers, now) {
+			continue
+		}
 		if members := d.place(u, offers); members != nil {
 			d.start(u, members, now)
 			continue
 		}
-		candidates, wait := d.earliestFit(u, offers, now)
+		candidates, wait := d.earliestFit(u, offers, never, now)
 		offRack := d.mayRunOffRack(u, wait, now)
 		if offRack {
 			if members := d.assign(u, offers, "", fits); members != nil {
--- a/core/command/hsdispatch/unit.go
+++ b/core/command/hsdispatch/unit.go
@@ -26,6 +26,9 @@
 	usesHeadroom bool
 	// outlook is that of the unit's step in this pass; nil before it is needed.
 	outlook *outlook
+	// maxRisk, if above zero, restricts the unit to workers on which its risk of being late after riskWait isn't larger.
+	maxRisk  float64
+	riskWait time.Duration
 }
 
 // key returns the first task, which identifies the unit.
--- a/io/hsdecision/recorder.go
+++ b/io/hsdecision/recorder.go
@@ -35,6 +35,7 @@
 	runsEnded     *prometheus.CounterVec
 	preempted     prometheus.Counter
 	stopped       *prometheus.CounterVec
+	held          *prometheus.CounterVec
 	endpointCalls *prometheus.CounterVec
 	speedChanges  *prometheus.CounterVec
 }
@@ -53,10 +54,11 @@
 		runsEnded:     counter("work_runs_ended_total", "Runs ended, by how they ended.", "how"),
 		preempted:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: "hyssopseam", Name: "work_preempted_total", Help: "Runs preempted by other jobs."}),
 		stopped:       counter("work_runs_stopped_total", "Runs that the leader decided to stop, by reason.", "reason"),
+		held:          counter("work_held_total", "Units held back though they may fit on free workers, by reason.", "reason"),
 		endpointCalls: counter("work_endpoint_calls_total", "Calls to the endpoint, by kind and verdict.", "kind", "verdict"),
 		speedChanges:  counter("work_speed_changes_total", "Changes of the class of speed of workers, by the new class.", "speed"),
 	}
-	r.MustRegister(rc.requests, rc.startWaits, rc.runsEnded, rc.preempted, rc.stopped, rc.endpointCalls, rc.speedChanges)
+	r.MustRegister(rc.requests, rc.startWaits, rc.runsEnded, rc.preempted, rc.stopped, rc.endpointCalls, rc.speedChanges, rc.held)
 	return rc
 }
 
@@ -134,6 +136,12 @@
 	rc.log.Info("run is stopped", attrs...)
 }
 
+// Held records that a unit is held back, though it may fit on free workers.
+func (rc *Recorder) Held(h hsdispatch.Hold) {
+	rc.held.WithLabelValues(string(h.Reason)).Inc()
+	rc.log.Info("unit is held back", "task", h.Task, "reason", h.Reason, "startsIn", h.StartsIn)
+}
+
 // WorkerChanged records that a worker became usable or stopped being usable.
 func (rc *Recorder) WorkerChanged(id hsid.InstanceID, e hsmessage.Endpoint, usable bool) {
 	rc.log.Info("worker changed", "worker", id, "endpoint", e.ID, "life", e.Incarnation, "leaving", e.Leaving, "usable", usable)
