hsdispatch: a gang on a leaving worker counts as a whole

The member on the leaving worker was judged by its own progress. While it waited for slower members at the end it looked nearly done, was left there, and the gang was stopped at the last moment with all of its work. With Features.Speeds the gang's last member counts, and so does the time since the worker's report. TestNoticesOverBurst plays waves of notices over a burst of urgent gangs: no run is lost with its worker and every job completes, with and without speeds.

--- a/core/command/hsdispatch/harness_test.go
+++ b/core/command/hsdispatch/harness_test.go
@@ -25,6 +25,8 @@
 	proposed   []*hswork.Command
 	stops      []hsdispatch.Stop
 	holds      []hsdispatch.Hold
+	// lost counts the runs that were given up with their worker.
+	lost int
 	// tick is how much time passes with each reading of the clock.
 	tick    time.Duration
 	plans   map[hsid.InstanceID]hsmessage.Plan
@@ -64,8 +66,12 @@
 
 func (h *harness) Clock() time.Duration { return h.now.Sub(time.UnixMilli(0)) }
 
-func (h *harness) Placed(*hswork.Start, time.Duration)                     {}
-func (h *harness) RunEnded(*hswork.End, hsid.InstanceID)                   {}
+func (h *harness) Placed(*hswork.Start, time.Duration) {}
+func (h *harness) RunEnded(e *hswork.End, _ hsid.InstanceID) {
+	if e.Kind == hswork.EndLost {
+		h.lost++
+	}
+}
 func (h *harness) Held(x hsdispatch.Hold)                                  { h.holds = append(h.holds, x) }
 func (h *harness) Stopping(s hsdispatch.Stop)                              { h.stops = append(h.stops, s) }
 func (h *harness) WorkerChanged(hsid.InstanceID, hsmessage.Endpoint, bool) {}
--- a/core/command/hsdispatch/leaving.go
+++ b/core/command/hsdispatch/leaving.go
@@ -33,8 +33,17 @@
 
 // outlastsWorker reports whether a run has to be stopped because its worker leaves: it isn't expected to end early
 // enough, or it is time to stop it. The end of a run that ends just as its worker leaves would go unseen, and the
-// task would run again.
-func (d *Dispatcher) outlastsWorker(p placedRun, leavesIn time.Duration, now time.Time) bool {
-	left := leavesIn - d.config.StopTimeout - endCommitTime
-	return left <= 0 || d.remainingTime(p, now) > left
+// task would run again. With speeds, a gang counts as a whole, as its members end with the slowest one, and the time since the
+// report counts.
+func (d *Dispatcher) outlastsWorker(p placedRun, w *worker, now time.Time) bool {
+	left := w.report.Endpoint.LeavesIn - d.config.StopTimeout - endCommitTime
+	if !d.config.Features.Speeds {
+		return left <= 0 || d.remainingTime(p, now) > left
+	}
+	left -= now.Sub(w.lastHeard)
+	remaining := d.remainingTime(p, now)
+	if p.step.Gang {
+		remaining = max(remaining, d.gangPaceOf(p).endsIn)
+	}
+	return left <= 0 || remaining > left
 }
--- a/core/command/hsdispatch/leaving_test.go
+++ b/core/command/hsdispatch/leaving_test.go
@@ -1,9 +1,11 @@
 package hsdispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"hyssopseam/core/command/hsdispatch"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hswork"
 )
@@ -65,3 +67,106 @@
 		}
 	}
 }
+
+// TestGangOnLeavingWorkerCountsAsWhole checks that a gang is stopped at the notice of departure if a member elsewhere won't end in
+// time. The member on the leaving worker waits for it at the end, and looked done until it was time to leave.
+func TestGangOnLeavingWorkerCountsAsWhole(t *testing.T) {
+	tables := []struct {
+		name     string
+		features hsdispatch.Features
+		percent  hswork.Percent
+		want     int
+	}{
+		{"the other member ends late", hsdispatch.Features{Speeds: true}, 40, 1},
+		{"the other member ends in time", hsdispatch.Features{Speeds: true}, 90, 0},
+		{"without speeds", hsdispatch.Features{}, 40, 0},
+	}
+	for _, tt := range tables {
+		h := newHarness(t)
+		h.features = tt.features
+		h.startLeadership(1)
+		a, b := h.addWorker("a", "r1-1"), h.addWorker("b", "r1-1")
+		h.submit(1, 1, "w2", with(step(2, 1000, 8), func(s *hswork.Step) { s.Gang = true }))
+		h.applyPlans()
+		h.advance(2 * time.Second)
+		a.Running[0].Percent, b.Running[0].Percent = 100, tt.percent
+		h.advance(100 * time.Millisecond)
+		a.Endpoint.Leaving, a.Endpoint.LeavesIn = true, 2*time.Second
+		h.advance(100 * time.Millisecond)
+		h.assertEqual(tt.name+": stops", len(h.stops), tt.want)
+	}
+}
+
+// depart ends a worker with all runs there, as at the end of a notice.
+func (h *harness) depart(worker hsid.InstanceID) {
+	report := h.reports[worker]
+	for _, r := range report.Running {
+		h.simulated[r.Run].stopped = true
+	}
+	report.EndpointTerminated, report.Running = true, nil
+	report.Ended, report.NeverStarted = nil, nil
+}
+
+// comeBack starts a worker again as the next incarnation of its endpoint.
+func (h *harness) comeBack(worker hsid.InstanceID) {
+	report := h.reports[worker]
+	report.EndpointTerminated = false
+	report.Endpoint.Leaving, report.Endpoint.LeavesIn = false, 0
+	report.Endpoint.Incarnation++
+}
+
+// TestNoticesOverBurst plays waves of notices of departure over a burst of urgent gangs. Each wave takes two of twelve workers for
+// three seconds. Pattern: days on which capacity is taken back while callers need it most.
+func TestNoticesOverBurst(t *testing.T) {
+	tables := []struct {
+		name     string
+		features hsdispatch.Features
+	}{
+		{"without the optional parts", hsdispatch.Features{}},
+		{"with speeds", hsdispatch.Features{Speeds: true}},
+	}
+	for _, tt := range tables {
+		h := newHarness(t)
+		h.features = tt.features
+		var ids []hsid.InstanceID
+		for i := range 12 {
+			id := hsid.InstanceID(fmt.Sprintf("w%02d", i))
+			ids = append(ids, id)
+			h.slowdowns[id] = []float64{1.7, 0.7, 0.7}[i%3]
+		}
+		h.speeds = h.estimates()
+		h.startLeadership(1)
+		for i, id := range ids {
+			h.addWorker(string(id), fmt.Sprintf("r1-%d", i/4))
+		}
+		var jobs []hswork.ID
+		const notice, wave = 20, 50 // in steps of 100 ms
+		for n := range 300 {
+			first := 2 * (n / wave)
+			for _, id := range ids[first : first+2] {
+				switch n % wave {
+				case 0:
+					h.reports[id].Endpoint.Leaving, h.reports[id].Endpoint.LeavesIn = true, notice*100*time.Millisecond
+				case notice:
+					h.depart(id)
+				case wave - 1:
+					h.comeBack(id)
+				}
+				if n%wave < notice {
+					h.reports[id].Endpoint.LeavesIn = time.Duration(notice-n%wave) * 100 * time.Millisecond
+				}
+			}
+			if n < 200 && n%4 == 0 {
+				h.urgent()
+				jobs = append(jobs, h.submitWork(n+1, 0, "w2", 2*time.Second, with(seconds(step(1+n/4%4, 1000, 4), 2), func(s *hswork.Step) { s.Gang = true })))
+			}
+			h.advance(100 * time.Millisecond)
+		}
+		for _, id := range jobs {
+			if h.state.Jobs[id].Phase != hswork.Completed {
+				t.Errorf("%s: job %s isn't completed after the burst", tt.name, id)
+			}
+		}
+		h.assertEqual(tt.name+": runs lost with their workers", h.lost, 0)
+	}
+}
--- a/core/command/hsdispatch/stall.go
+++ b/core/command/hsdispatch/stall.go
@@ -69,7 +69,7 @@
 			case d.stalled(p, now):
 				w.health.recordStall(now)
 				d.stopRun(p, StopStalled, "")
-			case w.report.Endpoint.Leaving && (d.cannotBegin(p, w) || d.outlastsWorker(p, w.report.Endpoint.LeavesIn, now)):
+			case w.report.Endpoint.Leaving && (d.cannotBegin(p, w) || d.outlastsWorker(p, w, now)):
 				d.stopRun(p, StopLeaving, "")
 			}
 		}
