hsdispatch: stragglers are restarted on fast workers that are free

A gang that started while only slow workers were free stayed there when fast ones became free, and missed its objective. With Features.Stragglers, a unit whose progress shows that it is clearly late, that is late because of a slow worker and that is very likely on time after a restart on workers that are free now is restarted there, at most once, and only if less than 40 % of its work is thrown away. The workers stay claimed until the runs have stopped. Speculative steps get no copy.

--- a/core/command/hsdispatch/claim.go
+++ b/core/command/hsdispatch/claim.go
@@ -21,6 +21,8 @@
 type claim struct {
 	members   []hswork.Member
 	createdAt time.Time
+	// restart is set for a unit whose earlier runs are being stopped for it. It isn't ready before these have ended.
+	restart bool
 }
 
 // expireClaims drops the claims of units that no longer wait, and those whose capacity wasn't freed in time.
@@ -30,12 +32,18 @@
 		waiting[u.key()] = true
 	}
 	for key, c := range d.claims {
-		if !waiting[key] || now.Sub(c.createdAt) > claimTimeoutFactor*d.config.StopTimeout {
+		if !waiting[key] && !(c.restart && d.isOpen(key.Job)) || now.Sub(c.createdAt) > claimTimeoutFactor*d.config.StopTimeout {
 			delete(d.claims, key)
 		}
 	}
 }
 
+// isOpen reports whether a job is open.
+func (d *Dispatcher) isOpen(id hswork.ID) bool {
+	j := d.state.Jobs[id]
+	return j != nil && j.Phase == hswork.Open
+}
+
 // startClaimed starts a unit once all capacity of its claim is free. The offers already count the claim as used, so
 // free stays negative until the preempted runs have freed enough. The claim is dropped when one of its workers is
 // gone or its endpoint has restarted.
--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -118,6 +118,8 @@
 	RunEnded(e *hswork.End, worker hsid.InstanceID)
 	// Stopping reports the decision to stop a run.
 	Stopping(s Stop)
+	// Restarting reports the decision to restart a straggler, before that to stop its runs.
+	Restarting(s Straggler)
 	// Held reports that a unit is held back, though it may fit on free workers. It is reported once for each time that the
 	// unit becomes ready.
 	Held(h Hold)
@@ -165,6 +167,8 @@
 	claims map[hswork.TaskID]*claim
 	// readySince is when each waiting unit was first seen ready, by its first task.
 	readySince map[hswork.TaskID]time.Time
+	// restarted holds the stragglers of open jobs that were restarted, by their first task.
+	restarted map[hswork.TaskID]bool
 	// heldSince is when each waiting unit was first held back, by its first task.
 	heldSince map[hswork.TaskID]time.Time
 	// runningSince is when each run was first reported as running.
@@ -219,6 +223,7 @@
 		stopping:       map[hswork.RunID]bool{},
 		claims:         map[hswork.TaskID]*claim{},
 		readySince:     map[hswork.TaskID]time.Time{},
+		restarted:      map[hswork.TaskID]bool{},
 		heldSince:      map[hswork.TaskID]time.Time{},
 		runningSince:   map[hswork.RunID]time.Time{},
 		startedJobs:    map[hswork.ID]bool{},
@@ -277,6 +282,7 @@
 	}
 	d.dropUnusedPermits()
 	d.dropFailures()
+	d.dropRestarted()
 	for id, w := range d.workers {
 		if d.advanceAck(w) {
 			d.requestPlan(id)
--- a/core/command/hsdispatch/harness_test.go
+++ b/core/command/hsdispatch/harness_test.go
@@ -25,6 +25,7 @@
 	proposed   []*hswork.Command
 	stops      []hsdispatch.Stop
 	holds      []hsdispatch.Hold
+	stragglers []hsdispatch.Straggler
 	// lost counts the runs that were given up with their worker.
 	lost int
 	// tick is how much time passes with each reading of the clock.
@@ -72,6 +73,7 @@
 		h.lost++
 	}
 }
+func (h *harness) Restarting(s hsdispatch.Straggler)                       { h.stragglers = append(h.stragglers, s) }
 func (h *harness) Held(x hsdispatch.Hold)                                  { h.holds = append(h.holds, x) }
 func (h *harness) Stopping(s hsdispatch.Stop)                              { h.stops = append(h.stops, s) }
 func (h *harness) WorkerChanged(hsid.InstanceID, hsmessage.Endpoint, bool) {}
--- a/core/command/hsdispatch/offer.go
+++ b/core/command/hsdispatch/offer.go
@@ -48,8 +48,8 @@
 	d.load = newLoad(total, free)
 	slices.SortFunc(offers, func(a, b *offer) int { return cmp.Compare(a.worker.id, b.worker.id) })
 	subtract := func(m hswork.Member) {
-		if o := offerFrom(offers, m.Worker); o != nil {
-			o.free = o.free.Minus(need(&d.state.Jobs[m.Task.Job].Steps[m.Task.Step]))
+		if o, j := offerFrom(offers, m.Worker), d.state.Jobs[m.Task.Job]; o != nil && j != nil {
+			o.free = o.free.Minus(need(&j.Steps[m.Task.Step]))
 		}
 	}
 	for _, s := range d.proposedStarts {
--- a/core/command/hsdispatch/schedule.go
+++ b/core/command/hsdispatch/schedule.go
@@ -48,6 +48,7 @@
 		}
 		d.reserve(candidates, wait, offers)
 	}
+	d.restartStragglers(offers, now)
 }
 
 // placementClass holds the requirements that decide where a unit fits. Once a unit doesn't fit, a pass doesn't try
--- a/core/command/hsdispatch/stop.go
+++ b/core/command/hsdispatch/stop.go
@@ -24,6 +24,8 @@
 	StopMaintenance StopReason = "maintenance"
 	// StopEvacuated moves a run that hasn't begun off a worker of an evacuated zone.
 	StopEvacuated StopReason = "evacuated"
+	// StopStraggler restarts a unit that is late because of a slow worker.
+	StopStraggler StopReason = "straggler"
 	// StopRefused gives up a run that its endpoint refused to start.
 	StopRefused StopReason = "refused"
 )
--- a/core/command/hsdispatch/unevenload_test.go
+++ b/core/command/hsdispatch/unevenload_test.go
@@ -48,7 +48,8 @@
 }
 
 // TestUrgentGangsOverUnevenWorkers checks that placement by speed at least halves the late urgent jobs where a third of the workers
-// are slow, as on the customers' days, with and without bulk tasks on the rest of the fleet.
+// are slow, as on the customers' days, with and without bulk tasks on the rest of the fleet, and that restarting stragglers makes
+// no further job late.
 func TestUrgentGangsOverUnevenWorkers(t *testing.T) {
 	tables := []struct {
 		name string
@@ -61,9 +62,13 @@
 	for _, tt := range tables {
 		jobs, before := lateUrgent(t, hsdispatch.Features{}, tt.bulk)
 		_, after := lateUrgent(t, hsdispatch.Features{Speeds: true}, tt.bulk)
-		t.Logf("%s: of %d urgent jobs, %d late without speeds, %d with them", tt.name, jobs, before, after)
+		_, restarted := lateUrgent(t, hsdispatch.Features{Speeds: true, Stragglers: true}, tt.bulk)
+		t.Logf("%s: of %d urgent jobs, %d late without speeds, %d with them, %d with stragglers restarted", tt.name, jobs, before, after, restarted)
 		if 2*after > before {
 			t.Errorf("%s: got %d of %d urgent jobs late with speeds, want at most half of the %d without", tt.name, after, jobs, before)
 		}
+		if restarted > after {
+			t.Errorf("%s: got %d of %d urgent jobs late with stragglers restarted, want at most the %d without that", tt.name, restarted, jobs, after)
+		}
 	}
 }
--- a/internal/play/control.go
+++ b/internal/play/control.go
@@ -196,6 +196,9 @@
 // RunEnded does nothing.
 func (noopObserver) RunEnded(*hswork.End, hsid.InstanceID) {}
 
+// Restarting does nothing.
+func (noopObserver) Restarting(hsdispatch.Straggler) {}
+
 // Held does nothing.
 func (noopObserver) Held(hsdispatch.Hold) {}
 
--- a/io/hsdecision/recorder.go
+++ b/io/hsdecision/recorder.go
@@ -36,6 +36,7 @@
 	preempted     prometheus.Counter
 	stopped       *prometheus.CounterVec
 	held          *prometheus.CounterVec
+	stragglers    *prometheus.CounterVec
 	endpointCalls *prometheus.CounterVec
 	speedChanges  *prometheus.CounterVec
 }
@@ -55,10 +56,11 @@
 		preempted:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: "hyssopseam", Name: "work_preempted_total", Help: "Runs preempted by other jobs."}),
 		stopped:       counter("work_runs_stopped_total", "Runs that the leader decided to stop, by reason.", "reason"),
 		held:          counter("work_held_total", "Units held back though they may fit on free workers, by reason.", "reason"),
+		stragglers:    counter("work_stragglers_total", "Units restarted because a slow worker made them late, and how their jobs ended.", "outcome"),
 		endpointCalls: counter("work_endpoint_calls_total", "Calls to the endpoint, by kind and verdict.", "kind", "verdict"),
 		speedChanges:  counter("work_speed_changes_total", "Changes of the class of speed of workers, by the new class.", "speed"),
 	}
-	r.MustRegister(rc.requests, rc.startWaits, rc.runsEnded, rc.preempted, rc.stopped, rc.endpointCalls, rc.speedChanges, rc.held)
+	r.MustRegister(rc.requests, rc.startWaits, rc.runsEnded, rc.preempted, rc.stopped, rc.endpointCalls, rc.speedChanges, rc.held, rc.stragglers)
 	return rc
 }
 
@@ -136,6 +138,13 @@
 	rc.log.Info("run is stopped", attrs...)
 }
 
+// Restarting records the decision to restart a straggler.
+func (rc *Recorder) Restarting(s hsdispatch.Straggler) {
+	rc.stragglers.WithLabelValues("restarted").Inc()
+	rc.log.Info("straggler is restarted", "run", s.Run, "endsAfter", s.EndsAfter, "restartEndsAfter", s.RestartEndsAfter,
+		"objective", s.Objective, "thrown", s.Thrown)
+}
+
 // Held records that a unit is held back, though it may fit on free workers.
 func (rc *Recorder) Held(h hsdispatch.Hold) {
 	rc.held.WithLabelValues(string(h.Reason)).Inc()
