hsdispatch: trust in workers that survives their incarnations

health is forgotten with each incarnation, so a worker that restarted every few seconds got gangs again as soon as it was back, and they lost their work again and again.

With Features.Trust the leader keeps the evidence against a worker: losses, short lives, refusals and failures. A worker with an offence gets short tasks and those with checkpoints first, then single tasks, then gangs, then urgent gangs, each step after a pause that doubles with every offence, or after completed runs. Evidence is forgiven with time and completed runs. Covered units, and all units after hasWaited, use such workers as a last resort, and at most a quarter of the workers is held back. Changes are logged.

--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -120,6 +120,8 @@
 	Stopping(s Stop)
 	// Restarting reports the decision to restart a straggler, before that to stop its runs.
 	Restarting(s Straggler)
+	// TrustChanged reports that the trust in a worker has another level.
+	TrustChanged(c TrustChange)
 	// Held reports that a unit is held back, though it may fit on free workers. It is reported once for each time that the
 	// unit becomes ready.
 	Held(h Hold)
@@ -169,8 +171,8 @@
 	readySince map[hswork.TaskID]time.Time
 	// restarted holds the stragglers of open jobs that were restarted, by their first task.
 	restarted map[hswork.TaskID]bool
-	// heldSince is when each waiting unit was first held back, by its first task.
-	heldSince map[hswork.TaskID]time.Time
+	// heldSince is when each waiting unit was first held back for a reason.
+	heldSince map[holdKey]time.Time
 	// runningSince is when each run was first reported as running.
 	runningSince map[hswork.RunID]time.Time
 	// startedJobs holds the jobs of which a task was reported as running.
@@ -179,6 +181,8 @@
 	progress map[hswork.RunID]progress
 	// failedOn holds the workers on which tasks of a step failed.
 	failedOn map[StepID]map[hsid.InstanceID]bool
+	// trusts holds the evidence against workers that isn't forgiven. It outlives the worker's entry in workers.
+	trusts map[hsid.InstanceID]*trust
 	// coveredJobs holds the open jobs covered by the guarantee of their workspace, as of the last pass.
 	coveredJobs map[hswork.ID]bool
 	// totalCores is the capacity of all workers that accept new runs, with accelerators converted into cores.
@@ -224,7 +228,8 @@
 		claims:         map[hswork.TaskID]*claim{},
 		readySince:     map[hswork.TaskID]time.Time{},
 		restarted:      map[hswork.TaskID]bool{},
-		heldSince:      map[hswork.TaskID]time.Time{},
+		trusts:         map[hsid.InstanceID]*trust{},
+		heldSince:      map[holdKey]time.Time{},
 		runningSince:   map[hswork.RunID]time.Time{},
 		startedJobs:    map[hswork.ID]bool{},
 		progress:       map[hswork.RunID]progress{},
@@ -347,6 +352,7 @@
 	if len(ends) == 0 || !d.ports.Log.ProposeWork(&hswork.Command{End: &hswork.EndRuns{Ends: ends}}) {
 		return
 	}
+	d.recordLosses(ends, worker)
 	for i := range ends {
 		d.proposedEnds[ends[i].Run] = true
 		if ends[i].Kind == hswork.EndLost {
--- a/core/command/hsdispatch/health.go
+++ b/core/command/hsdispatch/health.go
@@ -71,8 +71,10 @@
 	switch {
 	case kind == hswork.EndDone:
 		w.health.recordDone()
+		d.recordCompleted(w.id)
 	case kind == hswork.EndFailed && !d.jobAtFault(w, run):
 		w.health.recordFailure(w.lastHeard)
+		d.recordEvidence(w.id, EvidenceFailed, w.lastHeard)
 	}
 }
 
@@ -106,16 +108,21 @@
 
 // avoids reports whether a unit shouldn't be placed on a worker because of failures there. A suspect worker gets one
 // task at a time as a probe, of a job that can still afford a failure; a unit that can't afford one also avoids
-// workers with a single failure. Covered units, which have to start in time, use such workers as a last resort, and so
-// do long-running ones, and others while much of the fleet is idle, after a short wait.
+// workers with a single failure. Nor is a unit placed on a worker that isn't trusted enough for it. Covered units, which have to
+// start in time, use such workers as a last resort, and so do long-running ones, and others while much of the fleet is idle,
+// after a short wait.
 func (d *Dispatcher) avoids(u *unit, o *offer) bool {
 	h := &o.worker.health
 	now := d.lastPass
+	distrust := d.distrust(u, o)
 	switch {
-	case h.failures == 0 || u.covered:
+	case h.failures == 0 && distrust == 0 || u.covered:
 		return false
 	case d.hasWaited(u):
 		return false
+	case distrust > 0:
+		u.distrusts = u.distrusts || o.free.Holds(need(u.step))
+		return true
 	case h.suspect():
 		return len(u.tasks) > 1 || u.lastAttempt() || !h.probeDue(now)
 	}
--- a/core/command/hsdispatch/offer.go
+++ b/core/command/hsdispatch/offer.go
@@ -18,6 +18,8 @@
 	free hswork.Resources
 	// headroom is the part of free that is kept for units of priority 0 and others that lose no work.
 	headroom hswork.Resources
+	// trust is the level of the worker; TrustShort, and of no meaning, without Features.Trust.
+	trust TrustLevel
 	// reserved is set if capacity is reserved for a waiting unit.
 	reserved *reservation
 }
@@ -47,6 +49,7 @@
 	}
 	d.load = newLoad(total, free)
 	slices.SortFunc(offers, func(a, b *offer) int { return cmp.Compare(a.worker.id, b.worker.id) })
+	d.updateTrust(offers, now)
 	subtract := func(m hswork.Member) {
 		if o, j := offerFrom(offers, m.Worker), d.state.Jobs[m.Task.Job]; o != nil && j != nil {
 			o.free = o.free.Minus(need(&j.Steps[m.Task.Step]))
--- a/core/command/hsdispatch/ontime.go
+++ b/core/command/hsdispatch/ontime.go
@@ -29,6 +29,12 @@
 	StartsIn time.Duration
 }
 
+// holdKey identifies a hold by the first task of its unit and the reason.
+type holdKey struct {
+	task   hswork.TaskID
+	reason HoldReason
+}
+
 // startOnTime handles a unit that is likely to be late on some workers and on time on others. It starts the unit on the latter,
 // or if these are busy waits for them for a moment or preempts runs there. It reports whether it did any of that; otherwise the
 // unit may start anywhere. A unit that can't be on time any more, has waited long enough or has to start soon for its guarantee
@@ -76,7 +82,7 @@
 // preempted, and reserves them. It ends after the stop timeout. Units that need permits aren't held, as the policy service
 // is asked about them once they don't fit.
 func (d *Dispatcher) holdForSpeed(u *unit, offers []*offer, now time.Time) bool {
-	since, held := d.heldSince[u.key()]
+	since, held := d.heldSince[holdKey{u.key(), HoldForSpeed}]
 	if d.needsPermit(u.job) || held && now.Sub(since) >= d.config.StopTimeout {
 		return false
 	}
@@ -96,17 +102,18 @@
 
 // recordHold records that a unit is held back, and reports it the first time.
 func (d *Dispatcher) recordHold(u *unit, reason HoldReason, startsIn time.Duration, now time.Time) {
-	if _, held := d.heldSince[u.key()]; held {
+	key := holdKey{u.key(), reason}
+	if _, held := d.heldSince[key]; held {
 		return
 	}
-	d.heldSince[u.key()] = now
+	d.heldSince[key] = now
 	d.ports.Observer.Held(Hold{Task: u.key(), Reason: reason, StartsIn: startsIn})
 }
 
 // dropHolds drops the holds of units that aren't ready any more.
 func (d *Dispatcher) dropHolds() {
 	for key := range d.heldSince {
-		if _, ready := d.readySince[key]; !ready {
+		if _, ready := d.readySince[key.task]; !ready {
 			delete(d.heldSince, key)
 		}
 	}
--- a/core/command/hsdispatch/place.go
+++ b/core/command/hsdispatch/place.go
@@ -190,7 +190,7 @@
 		if !ok {
 			continue
 		}
-		cost += penalty(u, o)
+		cost += d.penalty(u, o)
 		if counts[o.worker.id] == 0 || !u.step.Gang {
 			cost += d.speedCost(u, o)
 		}
@@ -202,9 +202,9 @@
 	return best, bestCost
 }
 
-// penalty returns the extra cost of a worker off the rack of the data, or with recent failures.
-func penalty(u *unit, o *offer) float64 {
-	cost := 0.0
+// penalty returns the extra cost of a worker off the rack of the data, with recent failures or without enough trust.
+func (d *Dispatcher) penalty(u *unit, o *offer) float64 {
+	cost := penaltyDistrust * float64(d.distrust(u, o))
 	if u.step.DataRack != "" && o.rack != u.step.DataRack {
 		cost += penaltyOffRack
 	}
--- a/core/command/hsdispatch/reserve.go
+++ b/core/command/hsdispatch/reserve.go
@@ -95,13 +95,13 @@
 }
 
 // earliestFitOn returns the workers on one rack, or on any for an empty rack, where all tasks of a unit are expected
-// to fit first, and the time until then, up to a limit. Suspect workers, reserved ones and those too slow for the unit are left
-// out. Long-running runs aren't expected to end.
+// to fit first, and the time until then, up to a limit. Suspect workers, those without enough trust, reserved ones and those
+// too slow for the unit are left out. Long-running runs aren't expected to end.
 func (d *Dispatcher) earliestFitOn(u *unit, offers []*offer, rack hswork.Label, limit time.Duration, now time.Time) ([]*candidate, time.Duration) {
 	var candidates []*candidate
 	waits := []time.Duration{0}
 	for _, o := range offers {
-		if o.reserved != nil || rack != "" && o.rack != rack || !o.suits(u.job.Pool, u.step) || o.worker.health.suspect() || d.isTooSlow(u, o.worker) {
+		if o.reserved != nil || rack != "" && o.rack != rack || !o.suits(u.job.Pool, u.step) || o.worker.health.suspect() || d.distrust(u, o) > 0 || d.isTooSlow(u, o.worker) {
 			continue
 		}
 		c := &candidate{offer: o}
--- a/core/command/hsdispatch/schedule.go
+++ b/core/command/hsdispatch/schedule.go
@@ -22,7 +22,7 @@
 		if !d.mayRestart(u, now) {
 			continue
 		}
-		class := placementClassOf(u)
+		class := d.placementClassOf(u)
 		if unplaceable[class] && !u.covered {
 			continue
 		}
@@ -47,6 +47,9 @@
 			continue
 		}
 		d.reserve(candidates, wait, offers)
+		if u.distrusts {
+			d.recordHold(u, HoldForTrust, wait%never, now)
+		}
 	}
 	d.restartStragglers(offers, now)
 }
@@ -63,9 +66,11 @@
 	spread   int
 	// spreadStep is set for a step with a spread limit, which holds for its own tasks only.
 	spreadStep StepID
+	// trust is the level that a worker needs; TrustShort without Features.Trust.
+	trust TrustLevel
 }
 
-func placementClassOf(u *unit) placementClass {
+func (d *Dispatcher) placementClassOf(u *unit) placementClass {
 	c := placementClass{
 		pool:     u.job.Pool,
 		need:     need(u.step),
@@ -78,6 +83,9 @@
 	if u.step.Spread > 0 {
 		c.spreadStep = stepIDOf(u.key())
 	}
+	if d.config.Features.Trust {
+		c.trust = d.neededTrust(u)
+	}
 	return c
 }
 
--- a/core/command/hsdispatch/worker.go
+++ b/core/command/hsdispatch/worker.go
@@ -27,6 +27,7 @@
 	planDue bool
 	health  health
 	urgent  urgentUse
+	life    life
 	// speed is the class of the worker's speed as of the last pass.
 	speed speedClass
 }
@@ -54,6 +55,7 @@
 		return
 	}
 	before := w.report
+	previouslyHeard := w.lastHeard
 	if before.Endpoint.Incarnation != report.Endpoint.Incarnation {
 		w.changedAt = w.lastHeard
 	}
@@ -65,6 +67,7 @@
 		w.acked = 0
 		w.health = health{}
 	}
+	d.recordLife(w, previouslyHeard)
 	if acceptsRuns(&before) != acceptsRuns(&report) || before.Endpoint.Incarnation != report.Endpoint.Incarnation {
 		d.ports.Observer.WorkerChanged(report.Instance, report.Endpoint, acceptsRuns(&report))
 		d.passDue = true
@@ -123,6 +126,9 @@
 			d.ports.Observer.Stopping(Stop{Run: r.Run, Worker: w.id, Reason: StopRefused})
 			d.dropPermit(w, r.Run.Task)
 			w.health.recordFailure(w.lastHeard)
+			if !report.Endpoint.Leaving {
+				d.recordEvidence(w.id, EvidenceRefused, w.lastHeard)
+			}
 		}
 	}
 	d.proposeEnds(ends, w.id)
--- a/internal/play/control.go
+++ b/internal/play/control.go
@@ -199,6 +199,9 @@
 // Restarting does nothing.
 func (noopObserver) Restarting(hsdispatch.Straggler) {}
 
+// TrustChanged does nothing.
+func (noopObserver) TrustChanged(hsdispatch.TrustChange) {}
+
 // Held does nothing.
 func (noopObserver) Held(hsdispatch.Hold) {}
 
--- a/io/hsdecision/recorder.go
+++ b/io/hsdecision/recorder.go
@@ -145,6 +145,11 @@
 		"objective", s.Objective, "thrown", s.Thrown)
 }
 
+// TrustChanged records that the trust in a worker has another level.
+func (rc *Recorder) TrustChanged(c hsdispatch.TrustChange) {
+	rc.log.Info("trust in a worker changed", "worker", c.Worker, "level", c.Level, "points", c.Points, "last", c.Last)
+}
+
 // Held records that a unit is held back, though it may fit on free workers.
 func (rc *Recorder) Held(h hsdispatch.Hold) {
 	rc.held.WithLabelValues(string(h.Reason)).Inc()
