hsdispatch, hsdecision: why jobs are late

Operators saw that jobs were late, but not whether they waited, ran on slow workers, were restarted or were lost. The leader keeps what it saw of each open job and reports the cause once the job is completed: work_late_total{cause}, and a log line for each late job. work_stragglers_total also counts whether restarted stragglers were on time in the end.

--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -120,6 +120,8 @@
 	Stopping(s Stop)
 	// Restarting reports the decision to restart a straggler, before that to stop its runs.
 	Restarting(s Straggler)
+	// Completed reports that a job was completed, with the cause if it was late.
+	Completed(c Completion)
 	// TrustChanged reports that the trust in a worker has another level.
 	TrustChanged(c TrustChange)
 	// Held reports that a unit is held back, though it may fit on free workers. It is reported once for each time that the
@@ -181,6 +183,8 @@
 	progress map[hswork.RunID]progress
 	// failedOn holds the workers on which tasks of a step failed.
 	failedOn map[StepID]map[hsid.InstanceID]bool
+	// traces holds what was seen of open jobs of which a unit was started.
+	traces map[hswork.ID]*jobTrace
 	// trusts holds the evidence against workers that isn't forgiven. It outlives the worker's entry in workers.
 	trusts map[hsid.InstanceID]*trust
 	// coveredJobs holds the open jobs covered by the guarantee of their workspace, as of the last pass.
@@ -228,6 +232,7 @@
 		claims:         map[hswork.TaskID]*claim{},
 		readySince:     map[hswork.TaskID]time.Time{},
 		restarted:      map[hswork.TaskID]bool{},
+		traces:         map[hswork.ID]*jobTrace{},
 		trusts:         map[hsid.InstanceID]*trust{},
 		heldSince:      map[holdKey]time.Time{},
 		runningSince:   map[hswork.RunID]time.Time{},
@@ -270,6 +275,7 @@
 		d.appliedEnds(c.End)
 	case c.Cancel != nil:
 		d.requestPlansForJob(c.Cancel.ID)
+		delete(d.traces, c.Cancel.ID)
 	}
 }
 
@@ -288,6 +294,7 @@
 	d.dropUnusedPermits()
 	d.dropFailures()
 	d.dropRestarted()
+	d.reportCompleted(c)
 	for id, w := range d.workers {
 		if d.advanceAck(w) {
 			d.requestPlan(id)
@@ -353,6 +360,7 @@
 		return
 	}
 	d.recordLosses(ends, worker)
+	d.traceLosses(ends)
 	for i := range ends {
 		d.proposedEnds[ends[i].Run] = true
 		if ends[i].Kind == hswork.EndLost {
--- a/core/command/hsdispatch/harness_test.go
+++ b/core/command/hsdispatch/harness_test.go
@@ -28,6 +28,7 @@
 	stragglers []hsdispatch.Straggler
 
 	trustChanges []hsdispatch.TrustChange
+	completions  []hsdispatch.Completion
 	// lost counts the runs that were given up with their worker.
 	lost int
 	// tick is how much time passes with each reading of the clock.
@@ -77,6 +78,7 @@
 }
 func (h *harness) Restarting(s hsdispatch.Straggler)                       { h.stragglers = append(h.stragglers, s) }
 func (h *harness) TrustChanged(c hsdispatch.TrustChange)                   { h.trustChanges = append(h.trustChanges, c) }
+func (h *harness) Completed(c hsdispatch.Completion)                       { h.completions = append(h.completions, c) }
 func (h *harness) Held(x hsdispatch.Hold)                                  { h.holds = append(h.holds, x) }
 func (h *harness) Stopping(s hsdispatch.Stop)                              { h.stops = append(h.stops, s) }
 func (h *harness) WorkerChanged(hsid.InstanceID, hsmessage.Endpoint, bool) {}
--- a/core/command/hsdispatch/schedule.go
+++ b/core/command/hsdispatch/schedule.go
@@ -96,5 +96,6 @@
 		return
 	}
 	d.proposedStarts[u.key()] = s
+	d.traceStart(u, members, now)
 	d.ports.Observer.Placed(s, now.Sub(u.readySince))
 }
--- a/core/command/hsdispatch/straggler.go
+++ b/core/command/hsdispatch/straggler.go
@@ -174,6 +174,7 @@
 	d.deduct(u, members, offers)
 	d.claims[u.key()] = &claim{members: members, createdAt: now, restart: true}
 	d.restarted[u.key()] = true
+	d.traceOf(u.job.ID).straggler = true
 	d.ports.Observer.Restarting(Straggler{
 		Run: runs[0].run, EndsAfter: endsAfter, Objective: objective, Thrown: f.done - f.kept,
 		RestartEndsAfter: age + delay + scaled(time.Duration(f.work*(1-f.kept)*float64(time.Second)), factor) + rest,
--- a/internal/play/control.go
+++ b/internal/play/control.go
@@ -202,6 +202,9 @@
 // TrustChanged does nothing.
 func (noopObserver) TrustChanged(hsdispatch.TrustChange) {}
 
+// Completed does nothing.
+func (noopObserver) Completed(hsdispatch.Completion) {}
+
 // Held does nothing.
 func (noopObserver) Held(hsdispatch.Hold) {}
 
--- a/io/hsdecision/recorder.go
+++ b/io/hsdecision/recorder.go
@@ -37,6 +37,7 @@
 	stopped       *prometheus.CounterVec
 	held          *prometheus.CounterVec
 	stragglers    *prometheus.CounterVec
+	late          *prometheus.CounterVec
 	endpointCalls *prometheus.CounterVec
 	speedChanges  *prometheus.CounterVec
 }
@@ -57,10 +58,11 @@
 		stopped:       counter("work_runs_stopped_total", "Runs that the leader decided to stop, by reason.", "reason"),
 		held:          counter("work_held_total", "Units held back though they may fit on free workers, by reason.", "reason"),
 		stragglers:    counter("work_stragglers_total", "Units restarted because a slow worker made them late, and how their jobs ended.", "outcome"),
+		late:          counter("work_late_total", "Jobs completed later than their objective, by cause.", "cause"),
 		endpointCalls: counter("work_endpoint_calls_total", "Calls to the endpoint, by kind and verdict.", "kind", "verdict"),
 		speedChanges:  counter("work_speed_changes_total", "Changes of the class of speed of workers, by the new class.", "speed"),
 	}
-	r.MustRegister(rc.requests, rc.startWaits, rc.runsEnded, rc.preempted, rc.stopped, rc.endpointCalls, rc.speedChanges, rc.held, rc.stragglers)
+	r.MustRegister(rc.requests, rc.startWaits, rc.runsEnded, rc.preempted, rc.stopped, rc.endpointCalls, rc.speedChanges, rc.held, rc.stragglers, rc.late)
 	return rc
 }
 
@@ -145,6 +147,19 @@
 		"objective", s.Objective, "thrown", s.Thrown)
 }
 
+// Completed records that a job was completed. Only late ones are logged.
+func (rc *Recorder) Completed(c hsdispatch.Completion) {
+	if c.Straggler && c.Late == "" {
+		rc.stragglers.WithLabelValues("onTime").Inc()
+	} else if c.Straggler {
+		rc.stragglers.WithLabelValues("late").Inc()
+	}
+	if c.Late != "" {
+		rc.late.WithLabelValues(string(c.Late)).Inc()
+		rc.log.Info("job is late", "job", c.Job, "took", c.Took, "objective", c.Objective, "cause", c.Late)
+	}
+}
+
 // TrustChanged records that the trust in a worker has another level.
 func (rc *Recorder) TrustChanged(c hsdispatch.TrustChange) {
 	rc.log.Info("trust in a worker changed", "worker", c.Worker, "level", c.Level, "points", c.Points, "last", c.Last)
