--- a/test/whole/work_test.go
+++ b/test/whole/work_test.go
@@ -47,7 +47,11 @@
 )
 
 func newWorkHarness(t *rapid.T, controls, workers int) *workHarness {
-	features := hsdispatch.Features{Speeds: rapid.Bool().Draw(t, "speeds")}
+	features := hsdispatch.Features{
+		Speeds:     rapid.Bool().Draw(t, "speeds"),
+		Stragglers: rapid.Bool().Draw(t, "stragglers"),
+		Trust:      rapid.Bool().Draw(t, "trust"),
+	}
 	control := hscontrol.Config{
 		Work:         hsdispatch.Config{Lease: 8 * time.Second, StopTimeout: 400 * time.Millisecond, Features: features},
 		ReplaceAfter: 1500 * time.Millisecond,
