hsdispatch: one simulation of workers in the tests

The tests of learned speeds had a second one of the same kind. They use that of the harness, which now has tasks that differ; their loads and bounds stay as they are. Estimates that no tracker should give are tested with the fake Speeds of the other tests.

--- a/core/command/hsdispatch/harness_test.go
+++ b/core/command/hsdispatch/harness_test.go
@@ -48,6 +48,8 @@
 	// work holds the run times of the tasks of jobs, by step, on an average worker. Workers carry out the plans for runs of
 	// these jobs by themselves; those of other jobs only as a test has them do it.
 	work map[hswork.ID][]time.Duration
+	// taskFactor returns the ratio of the work of a task to that of its job; nil for equal tasks.
+	taskFactor func(hswork.TaskID) float64
 	// simulated holds the runs that advance lets progress.
 	simulated map[hswork.RunID]*simulatedRun
 }
--- a/core/command/hsdispatch/simulate_test.go
+++ b/core/command/hsdispatch/simulate_test.go
@@ -117,11 +117,14 @@
 	if s == nil || s.stopped {
 		return
 	}
-	slowdown := h.slowdowns[worker]
-	if slowdown == 0 {
-		slowdown = 1
+	total := h.work[r.Run.Task.Job][r.Run.Task.Step].Seconds()
+	if slowdown := h.slowdowns[worker]; slowdown > 0 {
+		total *= slowdown
 	}
-	s.done = min(s.done+d.Seconds()/(slowdown*h.work[r.Run.Task.Job][r.Run.Task.Step].Seconds()), 1)
+	if h.taskFactor != nil {
+		total *= h.taskFactor(r.Run.Task)
+	}
+	s.done = min(s.done+d.Seconds()/total, 1)
 	if h.now.Sub(s.listedAt) >= listInterval {
 		s.listedAt = h.now
 		r.Percent = hswork.Percent(100 * s.done)
--- a/core/command/hsdispatch/speed_test.go
+++ b/core/command/hsdispatch/speed_test.go
@@ -13,40 +13,37 @@
 	"hyssopseam/core/hswork"
 )
 
-// slowByTwo is the slowdown of the slow workers of the tests: a factor of 2.4.
-var slowByTwo = math.Log(2.4)
-
-// newSpeedLoad returns a harness of 24 workers on four racks, of which each third takes 2.4 times as long, under a load of tasks
-// of about four seconds that differ by 20 %.
-func newSpeedLoad(t *testing.T, features hsdispatch.Features) *load {
+// newSpeedLoad returns a harness of 24 workers on four racks, of which each third takes 2.4 times as long, whose tasks differ by
+// 20 %.
+func newSpeedLoad(t *testing.T, features hsdispatch.Features) *harness {
 	h := newHarness(t)
 	h.features = features
 	h.startLeadership(1)
 	random := rand.New(rand.NewPCG(1, 2))
-	work := map[hswork.TaskID]time.Duration{}
-	l := newLoad(h, func(id hswork.TaskID) time.Duration {
-		if work[id] == 0 {
-			work[id] = time.Duration(float64(4*time.Second) * math.Exp(0.2*random.NormFloat64()))
+	factors := map[hswork.TaskID]float64{}
+	h.taskFactor = func(id hswork.TaskID) float64 {
+		if factors[id] == 0 {
+			factors[id] = math.Exp(0.2 * random.NormFloat64())
 		}
-		return work[id]
-	})
+		return factors[id]
+	}
 	for i := range 24 {
 		id := fmt.Sprintf("w%02d", i)
 		h.addWorker(id, fmt.Sprintf("r%d", i%4))
 		if isSlow(i) {
-			l.slowdown[hsid.InstanceID(id)] = slowByTwo
+			h.slowdowns[hsid.InstanceID(id)] = 2.4
 		}
 	}
-	return l
+	return h
 }
 
 func isSlow(worker int) bool { return worker%3 == 0 }
 
-// submitEvery submits a job with a step each time that the given time has passed, for a total time.
-func (l *load) submitEvery(interval, total time.Duration, s hswork.Step) {
+// submitEvery submits a job of four seconds with a step each time that the given time has passed, for a total time.
+func (h *harness) submitEvery(interval, total time.Duration, s hswork.Step) {
 	for range int(total / interval) {
-		l.h.submit(1000+l.ticks, 2, "w2", s)
-		l.advance(interval)
+		h.submitWork(1000+len(h.work), 2, "w2", 4*time.Second, s)
+		h.advance(interval)
 	}
 }
 
@@ -60,34 +57,34 @@
 		features hsdispatch.Features
 		step     hswork.Step
 		// then happens after the speeds were learned.
-		then func(l *load)
+		then func(h *harness)
 		// slow and fast are the bounds of the mean slowdowns of the two kinds of worker.
 		slowLowest, slowHighest float64
 		fastLowest, fastHighest float64
 	}{
-		{"gangs over uneven workers", hsdispatch.Features{Speeds: true}, gang, func(*load) {}, 0.4, 0.75, -0.4, -0.15},
-		{"single tasks", hsdispatch.Features{Speeds: true}, tasks, func(*load) {}, 0.4, 0.75, -0.4, -0.15},
-		{"a cold leader", hsdispatch.Features{Speeds: true}, gang, func(l *load) { l.h.startLeadership(2) }, 0.35, 0.75, -0.4, -0.1},
-		{"a leader after the next one", hsdispatch.Features{Speeds: true}, gang, func(l *load) {
-			l.h.startLeadership(2)
-			l.advance(2 * time.Second)
-			l.h.startLeadership(3)
+		{"gangs over uneven workers", hsdispatch.Features{Speeds: true}, gang, func(*harness) {}, 0.4, 0.75, -0.4, -0.15},
+		{"single tasks", hsdispatch.Features{Speeds: true}, tasks, func(*harness) {}, 0.4, 0.75, -0.4, -0.15},
+		{"a cold leader", hsdispatch.Features{Speeds: true}, gang, func(h *harness) { h.startLeadership(2) }, 0.35, 0.75, -0.4, -0.1},
+		{"a leader after the next one", hsdispatch.Features{Speeds: true}, gang, func(h *harness) {
+			h.startLeadership(2)
+			h.advance(2 * time.Second)
+			h.startLeadership(3)
 		}, 0.35, 0.75, -0.4, -0.1},
-		{"a speed that changes", hsdispatch.Features{Speeds: true}, gang, func(l *load) {
-			clear(l.slowdown)
-			l.submitEvery(500*time.Millisecond, 40*time.Second, gang)
+		{"a speed that changes", hsdispatch.Features{Speeds: true}, gang, func(h *harness) {
+			clear(h.slowdowns)
+			h.submitEvery(500*time.Millisecond, 40*time.Second, gang)
 		}, -0.25, 0.25, -0.25, 0.25},
-		{"the part is off", hsdispatch.Features{}, gang, func(*load) {}, 0, 0, 0, 0},
-		{"best effort", hsdispatch.Features{Speeds: true}, with(tasks, func(s *hswork.Step) { s.BestEffort = true }), func(*load) {}, 0, 0, 0, 0},
-		{"tasks off the rack of their data", hsdispatch.Features{Speeds: true}, with(tasks, func(s *hswork.Step) { s.DataRack = "r9" }), func(*load) {}, 0, 0, 0, 0},
+		{"the part is off", hsdispatch.Features{}, gang, func(*harness) {}, 0, 0, 0, 0},
+		{"best effort", hsdispatch.Features{Speeds: true}, with(tasks, func(s *hswork.Step) { s.BestEffort = true }), func(*harness) {}, 0, 0, 0, 0},
+		{"tasks off the rack of their data", hsdispatch.Features{Speeds: true}, with(tasks, func(s *hswork.Step) { s.DataRack = "r9" }), func(*harness) {}, 0, 0, 0, 0},
 	}
 	for _, tt := range tables {
-		l := newSpeedLoad(t, tt.features)
-		l.submitEvery(500*time.Millisecond, 25*time.Second, tt.step)
-		tt.then(l)
+		h := newSpeedLoad(t, tt.features)
+		h.submitEvery(500*time.Millisecond, 25*time.Second, tt.step)
+		tt.then(h)
 		var slow, fast float64
-		for i, id := range l.h.workerIDs() {
-			e := l.h.dispatcher.Speed(hsid.InstanceID(id))
+		for i, id := range h.workerIDs() {
+			e := h.dispatcher.Speed(hsid.InstanceID(id))
 			if isSlow(i) {
 				slow += float64(e.Slowdown) / 8
 			} else {
@@ -97,7 +94,7 @@
 		if slow < tt.slowLowest || slow > tt.slowHighest || fast < tt.fastLowest || fast > tt.fastHighest {
 			t.Errorf("%s: got slowdowns of %.2f and %.2f, want %.2f to %.2f and %.2f to %.2f", tt.load, slow, fast, tt.slowLowest, tt.slowHighest, tt.fastLowest, tt.fastHighest)
 		}
-		if committed := len(l.h.state.Speeds); (committed > 0) != (tt.slowHighest > 0) {
+		if committed := len(h.state.Speeds); (committed > 0) != (tt.slowHighest > 0) {
 			t.Errorf("%s: got the speeds of %d workers in the state", tt.load, committed)
 		}
 	}
@@ -119,9 +116,9 @@
 		{"gangs, speeds aren't learned", hsdispatch.Features{}, gang, 6900 * time.Millisecond, 13 * time.Second},
 	}
 	for _, tt := range tables {
-		l := newSpeedLoad(t, tt.features)
-		l.submitEvery(500*time.Millisecond, 60*time.Second, tt.step)
-		stats := l.h.state.RunTimes["queue"]
+		h := newSpeedLoad(t, tt.features)
+		h.submitEvery(500*time.Millisecond, 60*time.Second, tt.step)
+		stats := h.state.RunTimes["queue"]
 		if got := time.Duration(math.Exp(stats.Mean) * float64(time.Second)); got < tt.shortest || got > tt.longest {
 			t.Errorf("%s: got a mean of %s, want %s to %s", tt.name, got, tt.shortest, tt.longest)
 		}
@@ -132,15 +129,14 @@
 func TestEvenFleet(t *testing.T) {
 	var want []string
 	for _, learn := range []bool{false, true} {
-		l := newSpeedLoad(t, hsdispatch.Features{Speeds: learn})
-		l.slowdown = map[hsid.InstanceID]float64{}
-		l.work = func(hswork.TaskID) time.Duration { return 4 * time.Second }
+		h := newSpeedLoad(t, hsdispatch.Features{Speeds: learn})
+		h.slowdowns, h.taskFactor = map[hsid.InstanceID]float64{}, nil
 		gang := with(step(8, 1000, 2), func(s *hswork.Step) { s.Gang = true; s.Estimate = 4 * time.Second })
 		var got []string
 		for n := range 40 {
-			id := l.h.submit(n+1, n%3, "w2", gang)
-			l.advance(500 * time.Millisecond)
-			got = append(got, l.h.assignments(id)...)
+			id := h.submitWork(n+1, n%3, "w2", 4*time.Second, gang)
+			h.advance(500 * time.Millisecond)
+			got = append(got, h.assignments(id)...)
 		}
 		if learn && !slices.Equal(got, want) {
 			t.Errorf("got %v with speeds, want %v", got, want)
--- a/core/command/hsdispatch/speedplace_test.go
+++ b/core/command/hsdispatch/speedplace_test.go
@@ -71,19 +71,6 @@
 	}
 }
 
-// oddSpeeds returns the same estimate for all workers but those in exact.
-type oddSpeeds struct {
-	odd   hswork.SpeedEstimate
-	exact fakeSpeeds
-}
-
-func (o oddSpeeds) Estimate(worker hsid.InstanceID) hswork.SpeedEstimate {
-	if e, ok := o.exact[worker]; ok {
-		return e
-	}
-	return o.odd
-}
-
 // TestSpeedsWithoutEffect checks that decisions are the same as without speeds while the part is off, and while no
 // observation shows that workers differ.
 func TestSpeedsWithoutEffect(t *testing.T) {
@@ -128,7 +115,6 @@
 // TestOddSpeeds checks that estimates that no tracker should give neither stop the dispatcher nor keep a job waiting.
 func TestOddSpeeds(t *testing.T) {
 	nan, inf := math.NaN(), math.Inf(1)
-	exact := fakeSpeeds{"a": {Slowdown: 0.5, Variance: 0.01}}
 	tables := []struct {
 		name string
 		odd  hswork.SpeedEstimate
@@ -140,7 +126,7 @@
 	}
 	for _, tt := range tables {
 		h := newHarness(t)
-		h.features.Speeds, h.speeds = true, oddSpeeds{odd: tt.odd, exact: exact}
+		h.features.Speeds, h.speeds = true, fakeSpeeds{"a": {Slowdown: 0.5, Variance: 0.01}, "b": tt.odd, "c": tt.odd}
 		h.startLeadership(1)
 		for _, id := range []string{"a", "b", "c"} {
 			h.addWorker(id, "r1-1")
--- a/core/command/hsdispatch/straggler_test.go
+++ b/core/command/hsdispatch/straggler_test.go
@@ -1,6 +1,7 @@
 package hsdispatch_test
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -10,6 +11,17 @@
 	"hyssopseam/core/hswork"
 )
 
+// hide keeps workers from reporting until the returned function is called.
+func (h *harness) hide(ids ...hsid.InstanceID) func() {
+	hidden := map[hsid.InstanceID]*hsmessage.RunnerReport{}
+	for _, id := range ids {
+		hidden[id] = h.reports[id]
+		delete(h.reports, id)
+	}
+	h.reportAll()
+	return func() { maps.Copy(h.reports, hidden) }
+}
+
 // TestStragglers checks which units that started on slow workers are restarted once fast workers are free. The task takes 10 s on
 // an average worker, 7 s on a fast and 17 s on a slow one, and the objective is 12.3 s. Pattern: a gang starts in a burst, when
 // only slow workers are free, and the rest of the fleet is idle a moment later.
@@ -42,15 +54,12 @@
 		h := unevenFleet(t)
 		h.features = tt.features
 		h.startLeadership(1)
-		fast := map[hsid.InstanceID]*hsmessage.RunnerReport{"a": h.reports["a"], "c": h.reports["c"]}
-		delete(h.reports, "a")
-		delete(h.reports, "c")
-		h.reportAll()
+		appear := h.hide("a", "c")
 		h.stretch, h.target = tt.stretch, 300*time.Millisecond
 		job := h.submitWork(1, 0, "w2", 10*time.Second, tt.step)
 		h.advance(min(tt.freeAfter, 10*time.Second))
 		if tt.freeAfter < time.Hour {
-			h.reports["a"], h.reports["c"] = fast["a"], fast["c"]
+			appear()
 		}
 		h.advance(1500 * time.Millisecond)
 		h.assertEqual(tt.name, h.assignments(job), tt.want)
@@ -103,14 +112,11 @@
 		h := unevenFleet(t)
 		h.features.Stragglers = true
 		h.startLeadership(1)
-		a, c := h.reports["a"], h.reports["c"]
-		delete(h.reports, "a")
-		delete(h.reports, "c")
-		h.reportAll()
+		appear := h.hide("a", "c")
 		h.stretch, h.target = 1.2, 300*time.Millisecond
 		job := h.submitWork(1, 0, "w2", 10*time.Second, seconds(step(1, 1000, 8), 10))
 		h.advance(2200 * time.Millisecond)
-		h.reports["a"], h.reports["c"] = a, c
+		appear()
 		for range 10 {
 			if len(h.stragglers) > 0 {
 				break
