hsdispatch: signatures that other parts use stay as they were

remainingTime, earliestFit and placementClassOf are called by the parts that are built beside this one. Stragglers are looked for only on workers that are slower than the average.

--- a/core/command/hsdispatch/estimate.go
+++ b/core/command/hsdispatch/estimate.go
@@ -33,9 +33,17 @@
 	return d.workOf(e.Run, now.Sub(began))
 }
 
-// remainingTime estimates when a run on a worker ends, as a duration from now. On an uneven fleet, the members of a gang end with the
-// slowest one.
-func (d *Dispatcher) remainingTime(p placedRun, w *worker, now time.Time) time.Duration {
+// remainingTime estimates when a run ends, as a duration from now.
+func (d *Dispatcher) remainingTime(p placedRun, now time.Time) time.Duration {
+	w := d.workers[p.assignment.Worker]
+	if w == nil {
+		return d.remainingOf(p, 1, now)
+	}
+	return d.remainingOn(p, w, now)
+}
+
+// remainingOn is remainingTime for a run whose worker is known. On an uneven fleet, the members of a gang end with the slowest one.
+func (d *Dispatcher) remainingOn(p placedRun, w *worker, now time.Time) time.Duration {
 	if d.fleet.uneven && p.step.Gang {
 		return max(d.gangPaceOf(p).endsIn-now.Sub(d.lastPass), minRemaining)
 	}
--- a/core/command/hsdispatch/leaving.go
+++ b/core/command/hsdispatch/leaving.go
@@ -38,10 +38,10 @@
 func (d *Dispatcher) outlastsWorker(p placedRun, w *worker, now time.Time) bool {
 	left := w.report.Endpoint.LeavesIn - d.config.StopTimeout - endCommitTime
 	if !d.config.Features.Speeds {
-		return left <= 0 || d.remainingTime(p, w, now) > left
+		return left <= 0 || d.remainingTime(p, now) > left
 	}
 	left -= now.Sub(w.lastHeard)
-	remaining := d.remainingTime(p, w, now)
+	remaining := d.remainingTime(p, now)
 	if p.step.Gang {
 		remaining = max(remaining, d.gangPaceOf(p).endsIn)
 	}
--- a/core/command/hsdispatch/ontime.go
+++ b/core/command/hsdispatch/ontime.go
@@ -86,7 +86,7 @@
 	if d.needsPermit(u.job) || held && now.Sub(since) >= d.config.StopTimeout {
 		return false
 	}
-	candidates, wait := d.earliestFit(u, offers, d.config.StopTimeout, now)
+	candidates, wait := d.earliestFitWithin(u, offers, d.config.StopTimeout, now)
 	if candidates == nil || wait == 0 {
 		return false
 	}
--- a/core/command/hsdispatch/reserve.go
+++ b/core/command/hsdispatch/reserve.go
@@ -31,8 +31,13 @@
 }
 
 // earliestFit returns the workers where a unit that doesn't fit now is expected to fit first at full speed, and the
-// time until then. It returns nil and never if no such workers are known, or only after a wait above the limit.
-func (d *Dispatcher) earliestFit(u *unit, offers []*offer, limit time.Duration, now time.Time) ([]*candidate, time.Duration) {
+// time until then. It returns nil and never if no such workers are known.
+func (d *Dispatcher) earliestFit(u *unit, offers []*offer, now time.Time) ([]*candidate, time.Duration) {
+	return d.earliestFitWithin(u, offers, never, now)
+}
+
+// earliestFitWithin is earliestFit for waits up to a limit.
+func (d *Dispatcher) earliestFitWithin(u *unit, offers []*offer, limit time.Duration, now time.Time) ([]*candidate, time.Duration) {
 	var best []*candidate
 	bestWait := never
 	racks := d.localRacks(u, offers)
@@ -109,7 +114,7 @@
 			if p.step.LongRunning && !d.stopping[p.run] {
 				continue
 			}
-			r := release{endsIn: d.remainingTime(p, o.worker, now), resources: need(p.step)}
+			r := release{endsIn: d.remainingOn(p, o.worker, now), resources: need(p.step)}
 			if r.endsIn > limit {
 				continue
 			}
--- a/core/command/hsdispatch/schedule.go
+++ b/core/command/hsdispatch/schedule.go
@@ -22,7 +22,8 @@
 		if !d.mayRestart(u, now) {
 			continue
 		}
-		class := d.placementClassOf(u)
+		u.trust = d.neededTrust(u)
+		class := placementClassOf(u)
 		if unplaceable[class] && !u.covered {
 			continue
 		}
@@ -33,7 +34,7 @@
 			d.start(u, members, now)
 			continue
 		}
-		candidates, wait := d.earliestFit(u, offers, never, now)
+		candidates, wait := d.earliestFit(u, offers, now)
 		offRack := d.mayRunOffRack(u, wait, now)
 		if offRack {
 			if members := d.assign(u, offers, "", fits); members != nil {
@@ -66,11 +67,10 @@
 	spread   int
 	// spreadStep is set for a step with a spread limit, which holds for its own tasks only.
 	spreadStep StepID
-	// trust is the level that a worker needs; TrustShort without Features.Trust.
-	trust TrustLevel
+	trust      TrustLevel
 }
 
-func (d *Dispatcher) placementClassOf(u *unit) placementClass {
+func placementClassOf(u *unit) placementClass {
 	c := placementClass{
 		pool:     u.job.Pool,
 		need:     need(u.step),
@@ -79,13 +79,11 @@
 		dataRack: u.step.DataRack,
 		sameRack: u.step.SameRack,
 		spread:   u.step.Spread,
+		trust:    u.trust,
 	}
 	if u.step.Spread > 0 {
 		c.spreadStep = stepIDOf(u.key())
 	}
-	if d.config.Features.Trust {
-		c.trust = d.neededTrust(u)
-	}
 	return c
 }
 
--- a/core/command/hsdispatch/straggler.go
+++ b/core/command/hsdispatch/straggler.go
@@ -55,6 +55,10 @@
 	}
 	seen := map[hswork.TaskID]bool{}
 	for _, id := range d.workersWithRuns() {
+		if d.factorOf(id) <= 1 {
+			// The slowest worker of a straggler is slower than the average.
+			continue
+		}
 		for _, p := range d.placedOn(id) {
 			key := p.run.Task
 			if p.step.Gang {
@@ -71,10 +75,9 @@
 	}
 }
 
-// mayStraggle reports whether a run belongs to a unit that may be restarted: it alone keeps its step from its end, and its slowest
-// worker is slower than the average.
+// mayStraggle reports whether a run belongs to a unit that may be restarted: it alone keeps its step from its end.
 func (d *Dispatcher) mayStraggle(p placedRun) bool {
-	if p.step.LongRunning || p.step.BestEffort || p.job.Phase != hswork.Open || d.factorOfRun(p) <= 1 {
+	if p.step.LongRunning || p.step.BestEffort || p.job.Phase != hswork.Open {
 		return false
 	}
 	if !p.step.Gang {
@@ -157,6 +160,7 @@
 	for _, r := range runs {
 		u.tasks = append(u.tasks, r.run.Task)
 	}
+	u.trust = d.neededTrust(u)
 	delay := d.config.StopTimeout + startDelay
 	u.outlook = &outlook{
 		work:         f.work * (1 - f.kept),
--- a/core/command/hsdispatch/trust.go
+++ b/core/command/hsdispatch/trust.go
@@ -225,9 +225,11 @@
 	}
 }
 
-// neededTrust returns the level of a worker from which on it gets a unit.
+// neededTrust returns the level of a worker from which on it gets a unit; the lowest one without Features.Trust.
 func (d *Dispatcher) neededTrust(u *unit) TrustLevel {
 	switch {
+	case !d.config.Features.Trust:
+		return TrustShort
 	case len(u.tasks) > 1 && u.job.Priority == 0:
 		return TrustFull
 	case len(u.tasks) > 1:
@@ -240,8 +242,8 @@
 
 // distrust returns by how many levels the trust in a worker falls short of what a unit needs; 0 if it suffices.
 func (d *Dispatcher) distrust(u *unit, o *offer) int {
-	if !d.config.Features.Trust || o.trust == TrustFull {
+	if !d.config.Features.Trust {
 		return 0
 	}
-	return max(int(d.neededTrust(u)-o.trust), 0)
+	return max(int(u.trust-o.trust), 0)
 }
--- a/core/command/hsdispatch/unit.go
+++ b/core/command/hsdispatch/unit.go
@@ -26,6 +26,8 @@
 	usesHeadroom bool
 	// outlook is that of the unit's step in this pass; nil before it is needed.
 	outlook *outlook
+	// trust is the level that a worker needs to get the unit.
+	trust TrustLevel
 	// distrusts is set if the unit was kept off a worker with free capacity that isn't trusted enough.
 	distrusts bool
 	// maxRisk, if above zero, restricts the unit to workers on which its risk of being late after riskWait isn't larger.
