--- a/core/command/hsdispatch/bench_test.go
+++ b/core/command/hsdispatch/bench_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"testing"
 
+	"hyssopseam/core/command/hsdispatch"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hswork"
 )
 
 // BenchmarkPass measures a scheduling pass at the size of the target in docs/CAPACITY.md: 770 workers with ten
-// tasks each, and waiting jobs. With speeds, every third worker is known to be slow.
+// tasks each, and waiting jobs. With speeds, every third worker is known to be slow, and
+// stragglers and trust are on too.
 func BenchmarkPass(b *testing.B) {
 	tables := []struct {
 		workers int
@@ -34,7 +36,7 @@
 				for i := range tt.workers {
 					h.slowdowns[hsid.InstanceID(fmt.Sprintf("w%04d", i))] = []float64{0.7, 0.8, 1.7}[i%3] + float64(i%20)/100
 				}
-				h.features.Speeds, h.speeds = true, h.estimates()
+				h.features, h.speeds = hsdispatch.Features{Speeds: true, Stragglers: true, Trust: true}, h.estimates()
 				h.startLeadership(1)
 			}
 			for i := range tt.workers {
