hsdispatch: queue order by the cost to callers, behind Features.Costs

While room is short, units of one priority and timeliness are ordered by the loss per core-second that the coming wait causes; it is predicted from the work of the waiting units. Today's slack with the size penalty puts one large job before thirty small ones that are late because of it. A unit whose objective is certainly missed no longer precedes one of the next priority that would miss its own.

--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -193,8 +193,11 @@
 	totalCores float64
 	// lowestPriority is the largest priority number of a queue, as of the last pass.
 	lowestPriority int
-	// load is that of the same workers, as of the last pass.
+	// load is that of the same workers, and free their free capacity, as of the last pass.
 	load load
+	free hswork.Resources
+	// comingWaits is as of the last pass in which room was short; nil before.
+	comingWaits *comingWaits
 
 	speeds Speeds
 	// tracker is what speeds reads if speeds are learned; nil otherwise.
--- a/core/command/hsdispatch/order.go
+++ b/core/command/hsdispatch/order.go
@@ -50,6 +50,10 @@
 	age := d.age(u.job, u.tasks[0].Occurrence, now)
 	objective := d.latencyObjective(u.job)
 	path := d.criticalPath(u.job)
+	if d.config.Features.Costs {
+		// The steps before the unit's are done; their time is part of the age.
+		path = d.pathFrom(u.job, u.key().Step)
+	}
 	remaining := objective - age - path
 	u.slack = remaining + d.sizePenalty(u.job)
 	switch {
--- a/core/command/hsdispatch/unit.go
+++ b/core/command/hsdispatch/unit.go
@@ -33,6 +33,8 @@
 	// maxRisk, if above zero, restricts the unit to workers on which its risk of being late after riskWait isn't larger.
 	maxRisk  float64
 	riskWait time.Duration
+	// cost is set if Features.Costs is on and room is short.
+	cost unitCost
 }
 
 // key returns the first task, which identifies the unit.
@@ -84,6 +86,11 @@
 		u.usesHeadroom = d.mayUseHeadroom(u)
 	}
 	d.readySince = readySince
+	d.comingWaits = nil
+	if d.config.Features.Costs && d.roomIsShort(units) {
+		d.sortByCost(units, now)
+		return units
+	}
 	slices.SortStableFunc(units, compareUnits)
 	return units
 }
