hsdispatch: victims by the cost to callers, behind Features.Costs

Today's choice counts a gang once for each member that is hit, takes the same run again and again, as it has lost least since its last start, stops runs for jobs that are late in any case, and stops runs beside one that ends within the stop timeout.

With the feature on, the plan weighs what is thrown away (work since the last checkpoint, time to stop and restart, by the priority for which it is done, more with each earlier stop) and the objectives that victims miss against the objective that the unit meets. A gang counts once, with all that it frees, and units of priority 0 and covered ones wait up to the stop timeout for runs that are predicted to end within it. With the feature off, the choice is that of before.

--- a/core/command/hsdispatch/claim.go
+++ b/core/command/hsdispatch/claim.go
@@ -3,14 +3,13 @@
 import (
 	"time"
 
+	"hyssopseam/core/hscost"
 	"hyssopseam/core/hswork"
 )
 
 const (
 	// claimTimeoutFactor is how many stop timeouts a claim waits for the preempted runs to end before it expires.
 	claimTimeoutFactor = 4
-	// coresPerAccelerator converts accelerators into cores where work is compared. Users count with the same ratio.
-	coresPerAccelerator = 8
 	// preemptAfter is how long a unit below the highest priority, 0, has to wait before it may preempt runs.
 	preemptAfter = time.Second
 	// maxAcceptableWait is the longest wait that a unit below priority 0 prefers to preempting runs.
@@ -76,27 +75,39 @@
 	return now.Sub(u.readySince) > preemptAfter
 }
 
-// acceptableWait returns the longest wait for free capacity that a unit prefers to preempting runs.
-func (d *Dispatcher) acceptableWait(u *unit) time.Duration {
+// acceptableWait returns the longest predicted wait for free capacity that a unit prefers to preempting runs. With
+// Features.Costs that is the time that it takes to stop runs for a covered unit or one of priority 0, until the unit has waited
+// as long.
+func (d *Dispatcher) acceptableWait(u *unit, now time.Time) time.Duration {
 	if u.covered || u.job.Priority == 0 {
-		return 0
+		if !d.config.Features.Costs || now.Sub(u.readySince) >= d.config.StopTimeout {
+			return 0
+		}
+		return d.config.StopTimeout
 	}
 	return max(min(u.slack, maxAcceptableWait), 0)
 }
 
-// preemptFor stops runs to free capacity for a unit, those that lose the least work first, and claims that capacity.
-// It reports whether it did. With offRack it also considers placements on which the unit runs slower.
-func (d *Dispatcher) preemptFor(u *unit, offers []*offer, offRack bool, now time.Time) bool {
-	sel := d.newVictimSelector(u)
-	members := d.assignLocal(u, offers, sel.fitsAfterPreemption)
-	if members == nil && offRack {
-		members = d.assign(u, offers, "", sel.fitsAfterPreemption)
-	}
-	if members == nil {
-		return false
+// victimPlanner decides which runs are stopped to make room for a unit.
+type victimPlanner interface {
+	// plan returns where the unit starts and which runs are stopped for that, or nil if that isn't possible or costs too
+	// much. With offRack it also considers placements on which the unit runs slower.
+	plan(offers []*offer, offRack bool) *preemption
+}
+
+// newVictimPlanner returns the planner for a unit that would wait for a time if no run were stopped for it.
+func (d *Dispatcher) newVictimPlanner(u *unit, wait time.Duration, now time.Time) victimPlanner {
+	if d.config.Features.Costs {
+		return d.newCostSelector(u, wait, now)
 	}
-	pre := sel.preemptionFor(members, offers)
-	if !u.covered && pre.loss > sel.budget(len(members), pre.spare) {
+	return d.newVictimSelector(u)
+}
+
+// preemptFor stops runs to free capacity for a unit that would wait for a time otherwise, and claims that capacity. It reports
+// whether it did.
+func (d *Dispatcher) preemptFor(u *unit, offers []*offer, offRack bool, wait time.Duration, now time.Time) bool {
+	pre := d.newVictimPlanner(u, wait, now).plan(offers, offRack)
+	if pre == nil {
 		return false
 	}
 	reason := StopForPriority
@@ -104,10 +115,10 @@
 		reason = StopForGuarantee
 	}
 	for _, p := range pre.victims {
-		d.stopRun(p.placedRun, reason, u.job.ID)
+		d.stopRunFor(p.placedRun, Stop{Reason: reason, For: u.job.ID, Cost: p.cost, Saved: pre.saved})
 	}
-	d.deduct(u, members, offers)
-	d.claims[u.key()] = &claim{members: members, createdAt: now}
+	d.deduct(u, pre.members, offers)
+	d.claims[u.key()] = &claim{members: pre.members, createdAt: now}
 	return true
 }
 
@@ -118,5 +129,5 @@
 
 // equivalentCores returns resources in cores, with accelerators converted. Memory isn't counted.
 func equivalentCores(r hswork.Resources) float64 {
-	return float64(r.Cores)/1000 + coresPerAccelerator*float64(r.Accelerators)
+	return hscost.Cores(r)
 }
--- a/core/command/hsdispatch/cost.go
+++ b/core/command/hsdispatch/cost.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hyssopseam/core/hscost"
+	"hyssopseam/core/hsid"
 	"hyssopseam/core/hswork"
 )
 
@@ -28,6 +29,12 @@
 	density float64
 }
 
+// resetCosts drops what was computed for the pass before.
+func (d *Dispatcher) resetCosts() {
+	d.comingWaits = nil
+	d.groups, d.stepMeasures = map[hsid.InstanceID][]victimGroup{}, map[StepID]hscost.Unit{}
+}
+
 // measure returns the cost to callers of a unit and the rest of its job.
 func (d *Dispatcher) measure(u *unit, now time.Time) hscost.Unit {
 	occurrence := u.key().Occurrence
--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -5,6 +5,7 @@
 
 	"hyssopseam/core/command/hslease"
 	"hyssopseam/core/command/hsspeed"
+	"hyssopseam/core/hscost"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
@@ -198,6 +199,9 @@
 	free hswork.Resources
 	// comingWaits is as of the last pass in which room was short; nil before.
 	comingWaits *comingWaits
+	// groups and stepMeasures cache what stopping runs costs, during one pass.
+	groups       map[hsid.InstanceID][]victimGroup
+	stepMeasures map[StepID]hscost.Unit
 
 	speeds Speeds
 	// tracker is what speeds reads if speeds are learned; nil otherwise.
--- a/core/command/hsdispatch/ontime.go
+++ b/core/command/hsdispatch/ontime.go
@@ -56,7 +56,14 @@
 		return true
 	}
 	u.riskWait = d.config.StopTimeout
-	return d.mayPreempt(u, now) && d.preemptFor(u, offers, false, now)
+	if !d.mayPreempt(u, now) {
+		return false
+	}
+	wait := never
+	if d.config.Features.Costs {
+		_, wait = d.earliestFit(u, offers, now)
+	}
+	return d.preemptFor(u, offers, false, wait, now)
 }
 
 // hasSlowWorkers reports whether a unit is likely to be late on some workers that suit it, and on time on others.
--- a/core/command/hsdispatch/schedule.go
+++ b/core/command/hsdispatch/schedule.go
@@ -44,7 +44,7 @@
 		}
 		d.requestPermits(u, offers, now)
 		unplaceable[class] = unplaceable[class] || !d.needsPermit(u.job)
-		if wait > d.acceptableWait(u) && d.mayPreempt(u, now) && d.preemptFor(u, offers, offRack, now) {
+		if wait > d.acceptableWait(u, now) && d.mayPreempt(u, now) && d.preemptFor(u, offers, offRack, wait, now) {
 			continue
 		}
 		d.reserve(candidates, wait, offers)
--- a/core/command/hsdispatch/stall.go
+++ b/core/command/hsdispatch/stall.go
@@ -30,6 +30,8 @@
 type progress struct {
 	percent    hswork.Percent
 	checkpoint hswork.Checkpoint
+	// savedAt is when checkpoint was first reported; zero without a checkpoint.
+	savedAt time.Time
 	// changedAt is when percent was first reported.
 	changedAt time.Time
 	// firstPercent is the progress at firstSeen, when the run was first reported as running.
@@ -48,6 +50,9 @@
 			p.percent, p.changedAt = r.Percent, now
 			d.observeProgress(report, r, now)
 		}
+		if r.Checkpoint != "" && p.checkpoint != r.Checkpoint {
+			p.savedAt = now
+		}
 		p.checkpoint = r.Checkpoint
 		d.progress[r.Run] = p
 	}
--- a/core/command/hsdispatch/stop.go
+++ b/core/command/hsdispatch/stop.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hyssopseam/core/hscost"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hswork"
 )
@@ -39,28 +40,47 @@
 	For hswork.ID
 	// Ran is how long the run has been in progress, as far as this leader saw it.
 	Ran time.Duration
+	// Thrown is the work that the run loses, with the rest of its gang.
+	Thrown hscost.CoreSeconds
+	// Cost is the cost of a preemption in core-seconds, as it was compared with that of others.
+	Cost float64
+	// Saved is what the caller of the job For is spared, in results of priority 0; 0 without Features.Costs.
+	Saved hscost.Loss
 }
 
 // stopRun marks a run for stopping, along with the other members of its gang, requests the plans that say so, and
 // reports the decision.
 func (d *Dispatcher) stopRun(p placedRun, reason StopReason, by hswork.ID) {
-	stop := Stop{Run: p.run, Worker: p.assignment.Worker, Reason: reason, For: by}
+	d.stopRunFor(p, Stop{Reason: reason, For: by})
+}
+
+// stopRunFor is stopRun for a decision that is described in part.
+func (d *Dispatcher) stopRunFor(p placedRun, stop Stop) {
+	stop.Run, stop.Worker = p.run, p.assignment.Worker
+	stop.Thrown = d.thrownByStop(p, d.ports.Clock.Now())
 	if began, ok := d.runningSince[p.run]; ok {
 		stop.Ran = d.ports.Clock.Now().Sub(began)
 	}
 	d.ports.Observer.Stopping(stop)
-	tasks := []hswork.Task{*p.task}
-	if p.step.Gang {
-		tasks = p.job.Occurrences[p.run.Task.Occurrence].Steps[p.run.Task.Step]
+	for _, r := range d.stoppedWith(p) {
+		d.stopping[r.run] = true
+		d.requestPlan(r.assignment.Worker)
+	}
+}
+
+// stoppedWith returns a run and the other placed members of its gang, in the order of their tasks.
+func (d *Dispatcher) stoppedWith(p placedRun) []placedRun {
+	if !p.step.Gang {
+		return []placedRun{p}
 	}
+	var runs []placedRun
+	tasks := p.job.Occurrences[p.run.Task.Occurrence].Steps[p.run.Task.Step]
 	for i := range tasks {
-		run := p.run
-		if p.step.Gang {
-			run.Task.Index = i
-		}
-		if assignment := tasks[i].Assignment(p.run.Number); assignment != nil {
-			d.stopping[run] = true
-			d.requestPlan(assignment.Worker)
+		task := p.run.Task
+		task.Index = i
+		if a := tasks[i].Assignment(p.run.Number); a != nil {
+			runs = append(runs, newPlacedRun(p.job, task, &tasks[i], *a))
 		}
 	}
+	return runs
 }
--- a/core/command/hsdispatch/unit.go
+++ b/core/command/hsdispatch/unit.go
@@ -86,7 +86,7 @@
 		u.usesHeadroom = d.mayUseHeadroom(u)
 	}
 	d.readySince = readySince
-	d.comingWaits = nil
+	d.resetCosts()
 	if d.config.Features.Costs && d.roomIsShort(units) {
 		d.sortByCost(units, now)
 		return units
--- a/core/command/hsdispatch/victims.go
+++ b/core/command/hsdispatch/victims.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"hyssopseam/core/hscost"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hswork"
 )
@@ -20,7 +21,8 @@
 	uncoveredCostFactor = 4
 )
 
-// victimSelector selects the runs to preempt for one unit. It caches the candidates of each worker.
+// victimSelector selects the runs to preempt for one unit: those that lose the least work first. It caches the candidates of
+// each worker.
 type victimSelector struct {
 	dispatcher *Dispatcher
 	unit       *unit
@@ -46,6 +48,23 @@
 	return &victimSelector{dispatcher: d, unit: u, workers: map[hsid.InstanceID]*workerVictims{}}
 }
 
+// plan implements victimPlanner.
+func (v *victimSelector) plan(offers []*offer, offRack bool) *preemption {
+	d := v.dispatcher
+	members := d.assignLocal(v.unit, offers, v.fitsAfterPreemption)
+	if members == nil && offRack {
+		members = d.assign(v.unit, offers, "", v.fitsAfterPreemption)
+	}
+	if members == nil {
+		return nil
+	}
+	pre := v.preemptionFor(members, offers)
+	if !v.unit.covered && pre.loss > v.budget(len(members), pre.spare) {
+		return nil
+	}
+	return &pre
+}
+
 // candidatesOn returns the runs on a worker that may be preempted.
 func (v *victimSelector) candidatesOn(id hsid.InstanceID) *workerVictims {
 	if w := v.workers[id]; w != nil {
@@ -57,7 +76,7 @@
 		switch {
 		case v.dispatcher.stopping[p.run] || v.dispatcher.proposedEnds[p.run] || p.job.Phase != hswork.Open:
 			w.releasing = w.releasing.Plus(need(p.step))
-		case v.preemptible(p):
+		case v.dispatcher.preemptible(p, v.unit):
 			w.candidates = append(w.candidates, victim{placedRun: p, cost: v.cost(p)})
 		}
 	}
@@ -67,16 +86,21 @@
 
 // preemption is the set of runs to stop for the members of a claim.
 type preemption struct {
+	members []hswork.Member
 	victims []victim
 	// loss is the total cost of the victims.
 	loss float64
 	// spare is how many more tasks of the step fit into the capacity that is freed.
 	spare int
+	// score is loss with the penalties of the workers, and saved what the unit's caller is spared. Both are set with
+	// Features.Costs only.
+	score float64
+	saved hscost.Loss
 }
 
 // preemptionFor returns the runs to stop so that the members fit.
 func (v *victimSelector) preemptionFor(members []hswork.Member, offers []*offer) preemption {
-	var pre preemption
+	pre := preemption{members: members}
 	n := need(v.unit.step)
 	for _, o := range offers {
 		left := o.free
@@ -106,18 +130,22 @@
 // unless they are a gang, the work of other waiting tasks of the step that fit into the freed capacity as well.
 func (v *victimSelector) budget(members, spare int) float64 {
 	ownWork := stepCores(v.unit.step) * v.dispatcher.expectedRunTime(v.unit.job, v.unit.step).Seconds()
-	served := members
-	if !v.unit.step.Gang {
-		served = min(served+spare, v.waitingTasks())
+	return ownWork * float64(v.unit.servedTasks(members, spare)) * maxLossPercent / 100
+}
+
+// servedTasks returns how many tasks of the unit's step start if its members do and a number of others fit as well.
+func (u *unit) servedTasks(members, spare int) int {
+	if u.step.Gang {
+		return members
 	}
-	return ownWork * float64(served) * maxLossPercent / 100
+	return min(members+spare, u.waitingTasks())
 }
 
 // waitingTasks returns how many tasks of the unit's step and occurrence are neither placed nor done.
-func (v *victimSelector) waitingTasks() int {
-	first := v.unit.tasks[0]
+func (u *unit) waitingTasks() int {
+	first := u.key()
 	count := 0
-	for _, t := range v.unit.job.Occurrences[first.Occurrence].Steps[first.Step] {
+	for _, t := range u.job.Occurrences[first.Occurrence].Steps[first.Step] {
 		if !t.Done && len(t.Assignments) == 0 {
 			count++
 		}
@@ -173,19 +201,19 @@
 	return chosen, total, true
 }
 
-// preemptible reports whether a run may be preempted for the unit. Covered units may preempt any run that isn't
+// preemptible reports whether a run may be preempted for a unit. Covered units may preempt any run that isn't
 // covered, units of priority 0 any of lower priority, and other units only runs of lower priority that checkpoint
 // their progress. Long-running runs are exempt while too many tasks of their step are unavailable.
-func (v *victimSelector) preemptible(p placedRun) bool {
+func (d *Dispatcher) preemptible(p placedRun, u *unit) bool {
 	switch {
-	case v.dispatcher.coveredJobs[p.job.ID] || v.dispatcher.atMaxUnavailable(p):
+	case d.coveredJobs[p.job.ID] || d.atMaxUnavailable(p):
 		return false
-	case v.unit.covered:
+	case u.covered:
 		return true
-	case v.unit.job.Priority == 0:
+	case u.job.Priority == 0:
 		return p.job.Priority > 0
 	}
-	return p.job.Priority > v.unit.job.Priority && p.step.Checkpoints
+	return p.job.Priority > u.job.Priority && p.step.Checkpoints
 }
 
 // cost returns the work in core-seconds that is lost when a run is preempted, with the rest of its gang. A run that
