hsdispatch: fair shares between workspaces, behind Features.Shares

Where room is short, a wave of one workspace kept the urgent jobs of another waiting behind all of its own. Now shares decide among units of the same priority and timeliness that no guarantee covers. Only use by the same or a higher priority counts, so the bulk jobs of a workspace don't delay its urgent ones. The last start of each workspace with open jobs is leader state; the rest follows from what runs. On an idle fleet, and with the feature off, the order is that of before.

--- a/core/command/hsdispatch/costbench_test.go
+++ b/core/command/hsdispatch/costbench_test.go
@@ -21,6 +21,7 @@
 		{"costs/priority=0", hsdispatch.Features{Costs: true}, 0},
 		{"off/priority=1", hsdispatch.Features{}, 1},
 		{"costs/priority=1", hsdispatch.Features{Costs: true}, 1},
+		{"costs and shares/priority=1", hsdispatch.Features{Costs: true, Shares: true}, 1},
 	}
 	for _, tt := range tables {
 		b.Run(tt.name, func(b *testing.B) {
--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -194,14 +194,15 @@
 	totalCores float64
 	// lowestPriority is the largest priority number of a queue, as of the last pass.
 	lowestPriority int
-	// load is that of the same workers, and free their free capacity, as of the last pass.
-	load load
-	free hswork.Resources
+	// load is that of the same workers, total their capacity and free what is free of it, as of the last pass.
+	load        load
+	total, free hswork.Resources
 	// comingWaits is as of the last pass in which room was short; nil before.
 	comingWaits *comingWaits
 	// groups and stepMeasures cache what stopping runs costs, during one pass.
 	groups       map[hsid.InstanceID][]victimGroup
 	stepMeasures map[StepID]hscost.Unit
+	shares       shares
 
 	speeds Speeds
 	// tracker is what speeds reads if speeds are learned; nil otherwise.
--- a/core/command/hsdispatch/offer.go
+++ b/core/command/hsdispatch/offer.go
@@ -48,7 +48,7 @@
 		free = free.Plus(o.free)
 	}
 	d.load = newLoad(total, free)
-	d.free = free
+	d.total, d.free = total, free
 	slices.SortFunc(offers, func(a, b *offer) int { return cmp.Compare(a.worker.id, b.worker.id) })
 	d.updateTrust(offers, now)
 	subtract := func(m hswork.Member) {
--- a/core/command/hsdispatch/schedule.go
+++ b/core/command/hsdispatch/schedule.go
@@ -95,5 +95,6 @@
 	}
 	d.proposedStarts[u.key()] = s
 	d.traceStart(u, members, now)
+	d.recordStart(u)
 	d.ports.Observer.Placed(s, now.Sub(u.readySince))
 }
--- a/core/command/hsdispatch/unit.go
+++ b/core/command/hsdispatch/unit.go
@@ -89,9 +89,12 @@
 	d.resetCosts()
 	if d.config.Features.Costs && d.roomIsShort(units) {
 		d.sortByCost(units, now)
-		return units
+	} else {
+		slices.SortStableFunc(units, compareUnits)
+	}
+	if d.config.Features.Shares {
+		d.shareUnits(units, now)
 	}
-	slices.SortStableFunc(units, compareUnits)
 	return units
 }
 
--- a/core/command/hsshare/doc.go
+++ b/core/command/hsshare/doc.go
@@ -14,6 +14,6 @@
 // # Usage
 //
 //	l := hsshare.New(capacity)
-//	l.Use(hsshare.Origin{Workspace: "w1", Zone: "a"}, resources) // for each run
+//	l.Use(hsshare.Origin{Workspace: "w1", Zone: "a"}, resources, tasks) // for what runs
 //	order := l.Order(requests)
 package hsshare
--- a/core/command/hsshare/ledger.go
+++ b/core/command/hsshare/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -23,8 +24,9 @@
 // Request is a unit that waits for capacity.
 type Request struct {
 	Origin Origin
-	// Need is the demand of the whole unit.
-	Need hswork.Resources
+	// Need is the demand of each of its tasks.
+	Need  hswork.Resources
+	Tasks int
 }
 
 // Ledger holds what workspaces and zones use of a capacity.
@@ -46,12 +48,11 @@
 	return &Ledger{capacity: capacity, workspaces: map[hsid.WorkspaceID]*account{}}
 }
 
-// Use adds resources to what an origin uses. Negative ones count as none.
-func (l *Ledger) Use(o Origin, r hswork.Resources) {
-	r = r.Max(hswork.Resources{})
+// Use adds the resources of a number of tasks to what an origin uses.
+func (l *Ledger) Use(o Origin, need hswork.Resources, tasks int) {
 	a := l.account(o.Workspace)
-	a.used = plus(a.used, r)
-	a.zones[o.Zone] = plus(a.zones[o.Zone], r)
+	a.used = Sum(a.used, need, tasks)
+	a.zones[o.Zone] = Sum(a.zones[o.Zone], need, tasks)
 }
 
 // Started records when a unit of a workspace started last. Among workspaces with equal shares, the one whose last start is
@@ -67,10 +68,22 @@
 	return a
 }
 
-// plus returns the sum, with each resource limited to the largest number instead of an overflow.
-func plus(a, b hswork.Resources) hswork.Resources {
-	s := a.Plus(b)
-	return s.Max(a)
+// Sum returns the sum of resources and those of a number of tasks. Negative ones count as none, and sums that don't fit into a
+// number as the largest one.
+func Sum(r, need hswork.Resources, tasks int) hswork.Resources {
+	return hswork.Resources{
+		Cores:        hsid.MilliCores(sum(int64(r.Cores), int64(need.Cores), tasks)),
+		Memory:       hsid.Bytes(sum(int64(r.Memory), int64(need.Memory), tasks)),
+		Accelerators: hsid.Accelerators(sum(int64(r.Accelerators), int64(need.Accelerators), tasks)),
+	}
+}
+
+func sum(a, each int64, count int) int64 {
+	a, each, n := max(a, 0), max(each, 0), int64(max(count, 0))
+	if each > 0 && n > (math.MaxInt64-a)/each {
+		return math.MaxInt64
+	}
+	return a + n*each
 }
 
 // dominant returns the largest part that resources are of the capacity, over all resources. Resources of which there is no
@@ -140,7 +153,7 @@
 		i := q.waiting[0]
 		q.waiting = q.waiting[1:]
 		order = append(order, i)
-		l.Use(q.origin, requests[i].Need)
+		l.Use(q.origin, requests[i].Need, requests[i].Tasks)
 		for _, other := range queues {
 			if other.origin.Workspace == q.origin.Workspace {
 				other.share = l.Workspace(q.origin.Workspace)
--- a/core/command/hsshare/ledger_test.go
+++ b/core/command/hsshare/ledger_test.go
@@ -26,7 +26,7 @@
 	requests := func(need hswork.Resources, origins ...origin) []hsshare.Request {
 		var list []hsshare.Request
 		for _, o := range origins {
-			list = append(list, hsshare.Request{Origin: o, Need: need})
+			list = append(list, hsshare.Request{Origin: o, Need: need, Tasks: 1})
 		}
 		return list
 	}
@@ -50,7 +50,7 @@
 	for _, tt := range tables {
 		l := hsshare.New(capacity)
 		for o, r := range tt.used {
-			l.Use(o, r)
+			l.Use(o, r, 1)
 		}
 		if got := l.Order(tt.requests); !slices.Equal(got, tt.want) {
 			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
@@ -71,9 +71,9 @@
 	}
 	for _, tt := range tables {
 		l := hsshare.New(tt.capacity)
-		l.Use(hsshare.Origin{Workspace: "w2"}, accelerators(8))
-		l.Use(hsshare.Origin{Workspace: "w1", Zone: "b"}, accelerators(20))
-		l.Use(hsshare.Origin{Workspace: "w1", Zone: "a"}, accelerators(20))
+		l.Use(hsshare.Origin{Workspace: "w2"}, accelerators(8), 1)
+		l.Use(hsshare.Origin{Workspace: "w1", Zone: "b"}, accelerators(20), 1)
+		l.Use(hsshare.Origin{Workspace: "w1", Zone: "a"}, accelerators(20), 1)
 		if got := fmt.Sprint(l.Entries()); got != tt.want {
 			t.Errorf("%s: got %s, want %s", tt.name, got, tt.want)
 		}
--- a/core/command/hsshare/schemes_test.go
+++ b/core/command/hsshare/schemes_test.go
@@ -53,11 +53,11 @@
 		l.Started(w, at)
 	}
 	for _, j := range running {
-		l.Use(hsshare.Origin{Workspace: j.workspace}, j.need)
+		l.Use(hsshare.Origin{Workspace: j.workspace}, j.need, 1)
 	}
 	var requests []hsshare.Request
 	for _, j := range waiting {
-		requests = append(requests, hsshare.Request{Origin: hsshare.Origin{Workspace: j.workspace}, Need: j.need})
+		requests = append(requests, hsshare.Request{Origin: hsshare.Origin{Workspace: j.workspace}, Need: j.need, Tasks: 1})
 	}
 	ordered := make([]*job, 0, len(waiting))
 	for _, i := range l.Order(requests) {
@@ -79,7 +79,7 @@
 
 func work(j *job) float64 {
 	l := hsshare.New(capacity)
-	l.Use(hsshare.Origin{}, j.need)
+	l.Use(hsshare.Origin{}, j.need, 1)
 	return float64(l.Workspace("")) * j.declared.Seconds()
 }
 
