hsdispatch, hsdecision: work that is thrown away, by reason

Operators couldn't see how much work is lost with preempted runs, lost workers and broken gangs. The counter work_thrown_core_seconds_total{reason} counts it, and the line about a stopped run has the work lost, and for a preemption its cost and the objective saved.

--- a/core/command/hsdispatch/dispatcher.go
+++ b/core/command/hsdispatch/dispatcher.go
@@ -128,6 +128,8 @@
 	// Held reports that a unit is held back, though it may fit on free workers. It is reported once for each time that the
 	// unit becomes ready.
 	Held(h Hold)
+	// WorkThrown reports work that a run lost because it ended, and why: the kind of its end, or the reason of its stop.
+	WorkThrown(reason string, work hscost.CoreSeconds)
 	// WorkerChanged reports that a worker announced another incarnation of its endpoint, or that usable changed:
 	// whether it accepts new runs.
 	WorkerChanged(id hsid.InstanceID, endpoint hsmessage.Endpoint, usable bool)
@@ -370,6 +372,7 @@
 	d.recordLosses(ends, worker)
 	d.traceLosses(ends)
 	for i := range ends {
+		d.reportThrown(&ends[i])
 		d.proposedEnds[ends[i].Run] = true
 		if ends[i].Kind == hswork.EndLost {
 			d.epochs[worker]++
--- a/core/command/hsdispatch/harness_test.go
+++ b/core/command/hsdispatch/harness_test.go
@@ -9,6 +9,7 @@
 	"hyssopseam/core/command/hsdispatch"
 	"hyssopseam/core/command/hslifecycle"
 	"hyssopseam/core/command/hsspeed"
+	"hyssopseam/core/hscost"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
@@ -30,7 +31,8 @@
 	trustChanges []hsdispatch.TrustChange
 	completions  []hsdispatch.Completion
 	// lost counts the runs that were given up with their worker.
-	lost int
+	lost   int
+	thrown map[string]hscost.CoreSeconds
 	// tick is how much time passes with each reading of the clock.
 	tick    time.Duration
 	plans   map[hsid.InstanceID]hsmessage.Plan
@@ -83,6 +85,7 @@
 func (h *harness) Completed(c hsdispatch.Completion)                       { h.completions = append(h.completions, c) }
 func (h *harness) Held(x hsdispatch.Hold)                                  { h.holds = append(h.holds, x) }
 func (h *harness) Stopping(s hsdispatch.Stop)                              { h.stops = append(h.stops, s) }
+func (h *harness) WorkThrown(reason string, work hscost.CoreSeconds)       { h.thrown[reason] += work }
 func (h *harness) WorkerChanged(hsid.InstanceID, hsmessage.Endpoint, bool) {}
 func (h *harness) SpeedChanged(hsspeed.ClassChange)                        {}
 
@@ -104,6 +107,7 @@
 		now:     time.UnixMilli(1_000_000),
 		state:   hswork.NewState(),
 		plans:   map[hsid.InstanceID]hsmessage.Plan{},
+		thrown:  map[string]hscost.CoreSeconds{},
 		reports: map[hsid.InstanceID]*hsmessage.RunnerReport{},
 
 		stretch:   3,
--- a/core/command/hsdispatch/stop.go
+++ b/core/command/hsdispatch/stop.go
@@ -58,6 +58,7 @@
 func (d *Dispatcher) stopRunFor(p placedRun, stop Stop) {
 	stop.Run, stop.Worker = p.run, p.assignment.Worker
 	stop.Thrown = d.thrownByStop(p, d.ports.Clock.Now())
+	d.ports.Observer.WorkThrown(string(stop.Reason), stop.Thrown)
 	if began, ok := d.runningSince[p.run]; ok {
 		stop.Ran = d.ports.Clock.Now().Sub(began)
 	}
--- a/core/command/hsdispatch/thrown.go
+++ b/core/command/hsdispatch/thrown.go
@@ -56,3 +56,33 @@
 	}
 	return 1
 }
+
+// thrownWithGang is the reason for work that is lost because another member of the gang ended.
+const thrownWithGang = "gang"
+
+// reportThrown reports the work that a run loses by its end. It was reported before for runs that this leader stops. Nothing is
+// lost by a run that is done, nor for a job that is no longer open.
+func (d *Dispatcher) reportThrown(e *hswork.End) {
+	j := d.state.Jobs[e.Run.Task.Job]
+	if e.Kind == hswork.EndDone || e.Kind == hswork.EndNever || d.stopping[e.Run] || j == nil || j.Phase != hswork.Open {
+		return
+	}
+	t := j.Task(e.Run.Task)
+	if t == nil || t.Assignment(e.Run.Number) == nil {
+		return
+	}
+	p := newPlacedRun(j, e.Run.Task, t, *t.Assignment(e.Run.Number))
+	now := d.ports.Clock.Now()
+	lost, ok := d.lostByLoss(p, now)
+	if !ok {
+		return
+	}
+	reason := string(e.Kind)
+	if e.Kind == hswork.EndStopped {
+		reason = thrownWithGang
+	}
+	if e.Checkpoint != "" && e.Checkpoint != d.progress[e.Run].checkpoint {
+		lost = d.lostByStop(p, now)
+	}
+	d.ports.Observer.WorkThrown(reason, hscost.WorkOf(need(p.step), 1, lost))
+}
--- a/internal/play/control.go
+++ b/internal/play/control.go
@@ -7,6 +7,7 @@
 	"hyssopseam/core/command/hsdispatch"
 	"hyssopseam/core/command/hsquorum"
 	"hyssopseam/core/command/hsspeed"
+	"hyssopseam/core/hscost"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
@@ -211,6 +212,9 @@
 // Stopping does nothing.
 func (noopObserver) Stopping(hsdispatch.Stop) {}
 
+// WorkThrown does nothing.
+func (noopObserver) WorkThrown(string, hscost.CoreSeconds) {}
+
 // WorkerChanged does nothing.
 func (noopObserver) WorkerChanged(hsid.InstanceID, hsmessage.Endpoint, bool) {}
 
--- a/io/hsdecision/recorder.go
+++ b/io/hsdecision/recorder.go
@@ -22,6 +22,7 @@
 	"hyssopseam/core/command/hsdispatch"
 	"hyssopseam/core/command/hsrunner"
 	"hyssopseam/core/command/hsspeed"
+	"hyssopseam/core/hscost"
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hswork"
@@ -38,6 +39,7 @@
 	held          *prometheus.CounterVec
 	stragglers    *prometheus.CounterVec
 	late          *prometheus.CounterVec
+	thrown        *prometheus.CounterVec
 	endpointCalls *prometheus.CounterVec
 	speedChanges  *prometheus.CounterVec
 }
@@ -59,10 +61,11 @@
 		held:          counter("work_held_total", "Units held back though they may fit on free workers, by reason.", "reason"),
 		stragglers:    counter("work_stragglers_total", "Units restarted because a slow worker made them late, and how their jobs ended.", "outcome"),
 		late:          counter("work_late_total", "Jobs completed later than their objective, by cause.", "cause"),
+		thrown:        counter("work_thrown_core_seconds_total", "Work lost by runs that ended before they were done, in core-seconds with accelerators converted, by reason.", "reason"),
 		endpointCalls: counter("work_endpoint_calls_total", "Calls to the endpoint, by kind and verdict.", "kind", "verdict"),
 		speedChanges:  counter("work_speed_changes_total", "Changes of the class of speed of workers, by the new class.", "speed"),
 	}
-	r.MustRegister(rc.requests, rc.startWaits, rc.runsEnded, rc.preempted, rc.stopped, rc.endpointCalls, rc.speedChanges, rc.held, rc.stragglers, rc.late)
+	r.MustRegister(rc.requests, rc.startWaits, rc.runsEnded, rc.preempted, rc.stopped, rc.endpointCalls, rc.speedChanges, rc.held, rc.stragglers, rc.late, rc.thrown)
 	return rc
 }
 
@@ -132,10 +135,10 @@
 // Stopping records the decision to stop a run.
 func (rc *Recorder) Stopping(s hsdispatch.Stop) {
 	rc.stopped.WithLabelValues(string(s.Reason)).Inc()
-	attrs := []any{"run", s.Run, "worker", s.Worker, "reason", s.Reason, "ran", s.Ran}
+	attrs := []any{"run", s.Run, "worker", s.Worker, "reason", s.Reason, "ran", s.Ran, "thrown", float64(s.Thrown)}
 	if s.For != "" {
 		rc.preempted.Inc()
-		attrs = append(attrs, "for", s.For)
+		attrs = append(attrs, "for", s.For, "cost", s.Cost, "saved", float64(s.Saved))
 	}
 	rc.log.Info("run is stopped", attrs...)
 }
@@ -171,6 +174,11 @@
 	rc.log.Info("unit is held back", "task", h.Task, "reason", h.Reason, "startsIn", h.StartsIn)
 }
 
+// WorkThrown records work that a run lost.
+func (rc *Recorder) WorkThrown(reason string, work hscost.CoreSeconds) {
+	rc.thrown.WithLabelValues(reason).Add(float64(work))
+}
+
 // WorkerChanged records that a worker became usable or stopped being usable.
 func (rc *Recorder) WorkerChanged(id hsid.InstanceID, e hsmessage.Endpoint, usable bool) {
 	rc.log.Info("worker changed", "worker", id, "endpoint", e.ID, "life", e.Incarnation, "leaving", e.Leaving, "usable", usable)
