hscontrol, hsapp, hscodec: shares in status, dump and metrics, and the zones of callers

Operators see the shares of workspaces, and of the zones that their callers come from, in status, in the dump of the leader and in the gauge work_share{workspace}. The entry names its zone in each submission, in the field that orders about zones use, so requests keep their format. Submit, Job and Status have an optional trailing field, which is left out while capacity isn't shared; the format of embedded fields with optional ones after them is that of before.

--- a/cmd/hyssopseam/view.go
+++ b/cmd/hyssopseam/view.go
@@ -78,6 +78,13 @@
 		}
 		x.flush()
 	}
+	if len(s.WorkShares) > 0 {
+		x := t.table("WORKSPACE", "CALLERS' ZONE", "SHARE")
+		for _, w := range s.WorkShares {
+			x.row(string(w.Workspace), string(w.Zone), fmt.Sprintf("%.2f", w.Share))
+		}
+		x.flush()
+	}
 	if len(s.Completion) > 0 {
 		x := t.table("CLASS", "WORKSPACE", "ANSWERED", "P50", "P99", "MAX")
 		for _, c := range s.Completion {
--- a/core/command/hscontrol/leaderstate.go
+++ b/core/command/hscontrol/leaderstate.go
@@ -37,6 +37,7 @@
 		Learning:    !c.fleetDiscovered(),
 		Members:     c.membersView(),
 		Demand:      c.largestDemand(),
+		WorkShares:  c.WorkShares(),
 	}
 	s.Predict = func(j *hsstate.Job) time.Duration { return c.predictWait(layout, j) }
 	l.leases.Each(func(h *hslease.Holder) {
--- a/core/command/hscontrol/work.go
+++ b/core/command/hscontrol/work.go
@@ -11,6 +11,7 @@
 	"hyssopseam/core/command/hsspeed"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
+	"hyssopseam/core/hsview"
 	"hyssopseam/core/hswork"
 	"hyssopseam/core/query/hsprogress"
 )
@@ -61,6 +62,19 @@
 	return c.leader.dispatcher.WorkersBySpeed()
 }
 
+// WorkShares returns the shares of workspaces, and of their callers' zones, of what no guarantee covers. It is empty while this
+// replica doesn't lead and while capacity isn't shared.
+func (c *Control) WorkShares() []hsview.WorkShare {
+	if !c.Leading() {
+		return nil
+	}
+	var list []hsview.WorkShare
+	for _, e := range c.leader.dispatcher.Shares() {
+		list = append(list, hsview.WorkShare{Workspace: e.Origin.Workspace, Zone: e.Origin.Zone, Share: float64(e.Share)})
+	}
+	return list
+}
+
 // HandleAdvice delivers the policy service's answer about a step. It is ignored while this replica doesn't lead.
 func (c *Control) HandleAdvice(a hsdispatch.Advice) {
 	if c.Leading() {
@@ -142,7 +156,11 @@
 		waiting := hsprogress.CountWaiting(s, queue.Name, c.leader.dispatcher.HasStarted)
 		return hsmessage.WorkReply{Verdict: hsmessage.WorkDone, Waiting: waiting}, nil
 	case hsmessage.WorkSubmit:
-		return c.submitWork(queue, owner, id, q.Submission)
+		reply, command := c.submitWork(queue, owner, id, q.Submission)
+		if command != nil && c.config.Work.Features.Shares {
+			command.Submit.Zone = q.Zone
+		}
+		return reply, command
 	case hsmessage.WorkState:
 		j := s.Jobs[id]
 		if j == nil {
--- a/core/command/hsdispatch/shares.go
+++ b/core/command/hsdispatch/shares.go
@@ -85,7 +85,9 @@
 }
 
 // originOf returns where the requests of a job come from.
-func originOf(j *hswork.Job) hsshare.Origin { return hsshare.Origin{Workspace: j.Workspace} }
+func originOf(j *hswork.Job) hsshare.Origin {
+	return hsshare.Origin{Workspace: j.Workspace, Zone: j.Zone}
+}
 
 // newLedger returns the ledger of uses, relative to the capacity that nobody is guaranteed.
 func (d *Dispatcher) newLedger(uses []use) *hsshare.Ledger {
--- a/core/command/hsentry/entry.go
+++ b/core/command/hsentry/entry.go
@@ -58,6 +58,8 @@
 	Controls []hsstate.Peer
 	// Interval is the time between two renewals of the rules lease; zero for DefaultInterval.
 	Interval time.Duration
+	// Zone is the availability zone of the entry, which stands for that of its callers.
+	Zone hsid.ZoneID
 }
 
 // Clock returns the current time of a monotonic clock.
@@ -165,6 +167,7 @@
 		e.ports.Answerer.Answer(Refuse(&m, reason))
 		return m.ID
 	}
+	m = e.withZone(m)
 	if err := e.ports.Checker.Check(m); err != nil {
 		r := hsmessage.Reply{ID: m.ID, Status: hsmessage.StatusBad, Reason: err.Error()}
 		if m.Work != nil {
--- a/core/command/hslifecycle/apply.go
+++ b/core/command/hslifecycle/apply.go
@@ -85,6 +85,7 @@
 		Accepted:    clock,
 		Index:       index,
 		Phase:       hswork.Open,
+		Zone:        c.Zone,
 	}
 }
 
--- a/core/hsleaderstate/state.go
+++ b/core/hsleaderstate/state.go
@@ -50,4 +50,6 @@
 	Predict func(j *hsstate.Job) time.Duration
 	// Demand is the largest shape that is queued or running, or else guaranteed.
 	Demand hsshape.Shape
+	// WorkShares lists the shares of workspaces in what step jobs use without a guarantee.
+	WorkShares []hsview.WorkShare
 }
--- a/core/hsmessage/work.go
+++ b/core/hsmessage/work.go
@@ -42,7 +42,8 @@
 	Catalog *hswork.Catalog
 	// Wave is set for WorkStartWave, and for WorkGetWave with only its identifier.
 	Wave *hswork.Wave
-	// Zone is set for WorkEvacuate and WorkRestore.
+	// Zone is set for WorkEvacuate and WorkRestore. For WorkSubmit it is the zone of the entry that took the request, which
+	// stands for that of the caller.
 	Zone hsid.ZoneID
 }
 
--- a/core/hsview/dump.go
+++ b/core/hsview/dump.go
@@ -37,6 +37,8 @@
 	// Answers is the total size of the retained answers.
 	Answers hsid.Bytes
 	Homes   int
+	// WorkShares lists the shares of workspaces as the leader sees them; empty on other replicas.
+	WorkShares []WorkShare
 	// Speeds lists the speeds of workers that were committed, by worker.
 	Speeds []SpeedDump
 }
--- a/core/hsview/view.go
+++ b/core/hsview/view.go
@@ -123,6 +123,17 @@
 	Learning bool
 	// EvacuatedZones lists the availability zones on whose workers nothing is started.
 	EvacuatedZones []hsid.ZoneID
+	// WorkShares lists how much of the capacity that nobody is guaranteed the step jobs of each workspace use, each followed by
+	// the zones that its callers come from; empty while capacity isn't shared.
+	WorkShares []WorkShare
+}
+
+// WorkShare is the share of a workspace, or of its callers from one zone if Zone is set: the largest part of any resource that
+// their runs use, from 0 to 1.
+type WorkShare struct {
+	Workspace hsid.WorkspaceID
+	Zone      hsid.ZoneID
+	Share     float64
 }
 
 // Explanation explains the state of a job: why it waits, where it runs, or how it ended.
--- a/core/hswork/job.go
+++ b/core/hswork/job.go
@@ -195,6 +195,8 @@
 	// Occurrences holds the occurrences in order, up to the newest one of which a task was started; EnsureOccurrence
 	// adds the next one.
 	Occurrences []Occurrence
+	// Zone is the availability zone that the caller's request came from; empty if it isn't recorded.
+	Zone hsid.ZoneID
 }
 
 // EnsureOccurrence returns an occurrence, and first adds the missing ones up to it to Occurrences. It returns nil for
--- a/core/hswork/state.go
+++ b/core/hswork/state.go
@@ -70,6 +70,8 @@
 	Stretch     float64
 	Target      time.Duration
 	NeedsPermit bool
+	// Zone is Job.Zone.
+	Zone hsid.ZoneID
 }
 
 // Member is one task of a Start and the endpoint that it is assigned to.
--- a/core/query/hsreport/status.go
+++ b/core/query/hsreport/status.go
@@ -34,6 +34,7 @@
 		Guarantees:    guarantees(s),
 		Completion:    completion(s),
 		Learning:      s.Learning,
+		WorkShares:    s.WorkShares,
 	}
 	if s.Demand.Total() > 0 {
 		v.LargestDemand = s.Demand.String()
--- a/internal/play/entry.go
+++ b/internal/play/entry.go
@@ -30,6 +30,9 @@
 	RulesRegressed bool
 }
 
+// EntryZone is the availability zone of the entry.
+const EntryZone hsid.ZoneID = "entry-zone"
+
 func newEntry(w *World) *Entry {
 	e := &Entry{w: w, peer: "entry", clock: w.newClock(), pending: map[hsid.RequestID]func(r hsmessage.Reply){}}
 	e.entry = hsentry.New(hsentry.Config{
@@ -37,6 +40,7 @@
 		Incarnation: w.incarnation(),
 		Controls:    w.controlPeers(),
 		Interval:    w.config.Interval,
+		Zone:        EntryZone,
 	}, hsentry.Ports{Clock: e.clock, Random: e.clock, Sender: e, Answerer: e, Checker: hslink.Limits{}})
 	e.timer = &wakeTimer{w: w, clock: e.clock, role: e.entry}
 	e.timer.rearm()
--- a/io/hsapp/app.go
+++ b/io/hsapp/app.go
@@ -136,6 +136,14 @@
 		m.LabeledGauge("work_workers", "Workers by class of speed; 0 on replicas that don't lead and while speeds aren't learned.", "speed", class.String(),
 			fromSnapshot(func(s *hsprocess.Snapshot) float64 { return float64(s.WorkersBySpeed[class]) }))
 	}
+	m.GaugeList("work_share", "Share of each workspace in the capacity that nobody is guaranteed; none on replicas that don't lead and while capacity isn't shared.", "workspace",
+		func(add func(label string, value float64)) {
+			for _, w := range p.Snapshot().WorkShares {
+				if w.Zone == "" {
+					add(string(w.Workspace), w.Share)
+				}
+			}
+		})
 	m.Gauge("inbox_length", "Inputs queued for the control goroutine.", func() float64 { return float64(p.Backlog()) })
 	m.Counter("stray_answers_total", "Replies received for which no request was pending.", fromSnapshot(func(s *hsprocess.Snapshot) float64 { return float64(s.StrayReplies) }))
 	m.Counter("control_busy_seconds_total", "Time that the control goroutine spent processing inputs.", func() float64 { return p.BusyTime().Seconds() })
--- a/io/hsapp/role.go
+++ b/io/hsapp/role.go
@@ -230,7 +230,7 @@
 }
 
 func newEntry(b *base, s *sender) *hsentry.Entry {
-	c := hsentry.Config{Instance: b.settings.Instance, Incarnation: b.incarnation, Controls: b.settings.Controls}
+	c := hsentry.Config{Instance: b.settings.Instance, Incarnation: b.incarnation, Controls: b.settings.Controls, Zone: b.settings.Zone}
 	return hsentry.New(c, hsentry.Ports{
 		Clock:    hsclock.New(),
 		Random:   hsclock.Random{},
--- a/io/hscodec/format_test.go
+++ b/io/hscodec/format_test.go
@@ -10,6 +10,7 @@
 
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
+	"hyssopseam/core/hsview"
 	"hyssopseam/core/hswork"
 	"hyssopseam/io/hscodec"
 )
@@ -19,6 +20,9 @@
 var required = map[reflect.Type]int{
 	reflect.TypeFor[hswork.State]():   6,
 	reflect.TypeFor[hswork.Command](): 9,
+	reflect.TypeFor[hswork.Submit]():  9,
+	reflect.TypeFor[hswork.Job]():     15,
+	reflect.TypeFor[hsview.Status]():  19,
 }
 
 // fill sets everything in a value to something else than zero: numbers to 1, slices and maps to one element. It leaves out
--- a/io/hsmetric/metric.go
+++ b/io/hsmetric/metric.go
@@ -71,6 +71,30 @@
 	m.registry.MustRegister(prometheus.NewGaugeFunc(o, read))
 }
 
+// gaugeList is a gauge with one label whose values are read when it is collected.
+type gaugeList struct {
+	description *prometheus.Desc
+	read        func(add func(label string, value float64))
+}
+
+// Describe implements prometheus.Collector.
+func (g *gaugeList) Describe(c chan<- *prometheus.Desc) { c <- g.description }
+
+// Collect implements prometheus.Collector.
+func (g *gaugeList) Collect(c chan<- prometheus.Metric) {
+	g.read(func(label string, value float64) {
+		if m, err := prometheus.NewConstMetric(g.description, prometheus.GaugeValue, value, label); err == nil {
+			c <- m // The error is that of a label that isn't valid UTF-8.
+		}
+	})
+}
+
+// GaugeList registers a gauge with one label. Read calls add once for each value of the label that exists at the time.
+func (m *Metrics) GaugeList(name, help, label string, read func(add func(label string, value float64))) {
+	description := prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, []string{label}, nil)
+	m.registry.MustRegister(&gaugeList{description: description, read: read})
+}
+
 // Counter registers a counter whose value is read when it is collected.
 func (m *Metrics) Counter(name, help string, read func() float64) {
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, read))
--- a/io/hsprocess/input.go
+++ b/io/hsprocess/input.go
@@ -347,6 +347,7 @@
 	var d hsview.Dump
 	if p.control != nil {
 		d.Control = hsdump.Control(p.control.Replica(), p.control.State())
+		d.Control.WorkShares = p.control.WorkShares()
 	}
 	if p.entry != nil {
 		d.Entry = hsdump.Entry(p.entry)
--- a/io/hsprocess/process.go
+++ b/io/hsprocess/process.go
@@ -28,6 +28,7 @@
 	"hyssopseam/core/hsid"
 	"hyssopseam/core/hsmessage"
 	"hyssopseam/core/hsstate"
+	"hyssopseam/core/hsview"
 )
 
 const (
@@ -66,6 +67,8 @@
 	Batches       uint64
 	// WorkersBySpeed counts the workers by class of speed while the control replica leads and learns speeds.
 	WorkersBySpeed hsspeed.Counts
+	// WorkShares lists the shares of workspaces while the control replica leads and shares capacity.
+	WorkShares []hsview.WorkShare
 }
 
 // Process runs the roles of one process. Roles that it doesn't hold are nil.
@@ -257,6 +260,7 @@
 		s.Rules = p.control.State().Rules.InForce.Number
 		s.HasRulesLease = s.Leader != ""
 		s.WorkersBySpeed = p.control.WorkersBySpeed()
+		s.WorkShares = p.control.WorkShares()
 	}
 	if p.entry != nil {
 		s.Rules, s.HasRulesLease = p.entry.Rules()
