--- a/core/command/hsdispatch/costvictims.go
+++ b/core/command/hsdispatch/costvictims.go
@@ -10,8 +10,14 @@
 	"hyssopseam/core/hswork"
 )
 
-// maxStopFactor bounds the factor by which earlier stops of a run raise its cost.
-const maxStopFactor = 8
+const (
+	// maxStopFactor bounds the factor by which earlier stops of a run raise its cost.
+	maxStopFactor = 8
+	// maxThrownPercent bounds the cost of a preemption for a unit that isn't covered, in percent of the work that it serves if
+	// it is certain to be late without the preemption and on time with it. Thrown capacity counts half, as others miss it only
+	// while the fleet is full.
+	maxThrownPercent = 200
+)
 
 // victimGroup is what a worker frees when one run is stopped: the run, or all members of its gang there.
 type victimGroup struct {
@@ -397,11 +403,11 @@
 	return float64(hscost.WorkOf(v.unit.step.Need, tasks, v.dispatcher.expectedRunTime(v.unit.job, v.unit.step)))
 }
 
-// budget returns the highest cost at which a preemption is worth it for a unit that isn't covered: the work that it serves, if
-// that work is certain to be late without the preemption and on time with it, and otherwise a part of it.
+// budget returns the highest cost at which a preemption is worth it for a unit that isn't covered: maxThrownPercent of the work
+// that it serves, times the probability that the preemption saves its objective.
 func (v *costSelector) budget(pre *preemption, offers []*offer) float64 {
 	served := v.unit.servedTasks(len(pre.members), v.spare(pre, offers))
-	return v.ownWork(served) * float64(v.saved/v.measure.LateLoss())
+	return v.ownWork(served) * maxThrownPercent / 100 * float64(v.saved/v.measure.LateLoss())
 }
 
 // spare returns how many more tasks of the unit's step fit into the capacity that a preemption frees. That is 0 for a gang.
