--- a/test/whole/work_test.go
+++ b/test/whole/work_test.go
@@ -51,6 +51,8 @@
 		Speeds:     rapid.Bool().Draw(t, "speeds"),
 		Stragglers: rapid.Bool().Draw(t, "stragglers"),
 		Trust:      rapid.Bool().Draw(t, "trust"),
+		Shares:     rapid.Bool().Draw(t, "shares"),
+		Costs:      rapid.Bool().Draw(t, "costs"),
 	}
 	control := hscontrol.Config{
 		Work:         hsdispatch.Config{Lease: 8 * time.Second, StopTimeout: 400 * time.Millisecond, Features: features},
