--- a/review/_harness3/case_ended.go
+++ b/review/_harness3/case_ended.go
@@ -7,8 +7,8 @@
 
 func init() { scenarios["ended"] = scenario{agents: 3, run: oddEnd} }
 
-// oddEntry is an entry in a list of ends whose field saved is of another type. Its number is from the count of its writer.
-const oddEntry = `[40000,"0badc0de0badc0de.0.0.0",1,"done",7]`
+// foreignEnd is an entry whose field saved is of another type. Its number is from the count of its writer.
+var foreignEnd = oddEntry{number: 40000, text: `[40000,"0badc0de0badc0de.0.0.0",1,"done",7]`}
 
 // oddEnd lets another writer leave one entry in the list of ends of one worker. It checks that a task whose end the system has
 // taken note of isn't started again, and that its job is completed.
@@ -34,7 +34,7 @@
 		return cannotRun, "the first job wasn't completed"
 	}
 	if trouble != "0" {
-		workers[0].leaveOddEnd(oddEntry)
+		workers[0].leaveOddEnd(foreignEnd)
 	}
 	time.Sleep(3 * time.Second)
 	if !c.submit(second, steps) {
--- a/review/_harness3/worker.go
+++ b/review/_harness3/worker.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -78,10 +79,10 @@
 	deadline int64
 	// seen is the highest lastSeen of a call; ends up to it are forgotten.
 	seen int
-	// oddEnded holds the entries, as JSON, that another writer left in the list of ends.
-	oddEnded []string
-	changed  chan struct{}
-	closed   chan struct{}
+	// odd holds the entries that another writer left in the list of ends.
+	odd     []oddEntry
+	changed chan struct{}
+	closed  chan struct{}
 }
 
 type listedEnd struct {
@@ -89,6 +90,12 @@
 	run    *run
 }
 
+// oddEntry is an entry of another writer, as JSON, with its number.
+type oddEntry struct {
+	number int
+	text   string
+}
+
 type call struct {
 	Task       string `json:"task"`
 	Run        int    `json:"run"`
@@ -267,8 +274,8 @@
 	for _, e := range w.listed[:min(len(w.listed), 500)] {
 		ended = append(ended, []any{e.number, e.run.task, e.run.number, e.run.how, ""})
 	}
-	for _, odd := range w.oddEnded {
-		ended = append(ended, json.RawMessage(odd))
+	for _, o := range w.odd {
+		ended = append(ended, json.RawMessage(o.text))
 	}
 	return http.StatusOK, map[string]any{"running": running, "ended": ended}
 }
@@ -278,14 +285,15 @@
 	for len(w.listed) > 0 && w.listed[0].number <= w.seen {
 		w.listed = w.listed[1:]
 	}
+	w.odd = slices.DeleteFunc(w.odd, func(o oddEntry) bool { return o.number <= w.seen })
 }
 
 // leaveOddEnd adds an entry of another writer to the list of ends.
-func (w *worker) leaveOddEnd(entry string) {
+func (w *worker) leaveOddEnd(o oddEntry) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.oddEnded = append(w.oddEnded, entry)
-	w.record.add("entry of another writer in the ends of %s: %s", w.id, entry)
+	w.odd = append(w.odd, o)
+	w.record.add("entry of another writer in the ends of %s: %s", w.id, o.text)
 }
 
 func (w *worker) percent(r *run) int {
